--- /dev/null
+++ b/pkg/timer/clock.go
@@ -0,0 +1,23 @@
+// Package timer supplies time in milliseconds.
+//
+// State machines receive time as a Millis argument and never read a clock.
+// The code around them holds a Clock: System in a running process, Manual in
+// tests.
+//
+// # Usage
+//
+//	clock := timer.NewSystem()
+//	started := clock.Now()
+//	...
+//	elapsed := clock.Now() - started
+package timer
+
+// Clock tells the time in milliseconds.
+type Clock interface {
+	// Now returns monotonic time since an arbitrary start. Use it for leases,
+	// timeouts and spans.
+	Now() Millis
+	// Wall returns Unix time. Use it for timetables and records that other
+	// machines read.
+	Wall() Millis
+}
