Forward requests without hidden retries

Cause: fasthttp repeats idempotent requests up to 5 times and reads a close-delimited body as complete, so a caller could get a second run or a partial answer.

The forwarder turns the repetition off, follows each connection to tell "no byte written" from "may have run", and peeks at pooled connections before reuse.

--- /dev/null
+++ b/internal/protocol/encoder/header.go
@@ -0,0 +1,40 @@
+// Package encoder defines the headers between callers, daemons and backend
+// servers and encodes the values they carry.
+//
+// Callers see Service, Timeout, Depth, Outcome, Reason and RetryAfter. The
+// headers Attempt, Sender version, Solo and Load are used between daemons only;
+// ingress removes them from what a caller sends.
+//
+// # Usage
+//
+//	var attempt encoder.Attempt
+//	err := attempt.Decode(&ctx.Request.Header)
+//	...
+//	encoder.Refusal{Outcome: encoder.NotRun, Reason: "draining"}.Write(ctx)
+package encoder
+
+// Headers that callers and backend servers see.
+const (
+	HeaderService        = "Magnoliaknot-Service"
+	HeaderTimeout        = "Magnoliaknot-Timeout-Ms"
+	HeaderDepth          = "Magnoliaknot-Depth"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderOutcome        = "Magnoliaknot-Outcome"
+	HeaderReason         = "Magnoliaknot-Reason"
+	HeaderRetryAfterMs   = "Magnoliaknot-Retry-After-Ms"
+	HeaderRetryAfter     = "Retry-After"
+	HeaderReplayed       = "Magnoliaknot-Replayed"
+	HeaderInstance       = "Magnoliaknot-Instance"
+)
+
+// Headers between daemons.
+const (
+	HeaderAttempt = "Magnoliaknot-Attempt"
+	HeaderVersion = "Magnoliaknot-Configuration-Version"
+	HeaderSolo    = "Magnoliaknot-Solo"
+	HeaderLoad    = "Magnoliaknot-Load"
+	HeaderWant    = "Magnoliaknot-Want-Load"
+)
+
+// internalHeaders lists what ingress removes from a caller's request.
+var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWant}
--- /dev/null
+++ b/internal/protocol/encoder/refusal.go
@@ -0,0 +1,73 @@
+package encoder
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Refusal is an answer that does not come from a backend server.
+type Refusal struct {
+	Outcome      Outcome      `json:"outcome"`
+	Reason       Reason       `json:"reason"`
+	RetryAfterMs timer.Millis `json:"retry_after_ms,omitempty"`
+}
+
+// Write sends the refusal as headers and a JSON body.
+func (r Refusal) Write(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(r.status())
+	header := &ctx.Response.Header
+	header.Set(HeaderOutcome, string(r.Outcome))
+	header.Set(HeaderReason, string(r.Reason))
+	if r.Outcome == NotRun && r.RetryAfterMs > 0 {
+		header.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(r.RetryAfterMs), 10))
+		header.Set(HeaderRetryAfter, strconv.FormatInt(int64((r.RetryAfterMs+timer.Second-1)/timer.Second), 10))
+	}
+	ctx.SetContentType("application/json")
+	body, _ := json.Marshal(r) // The struct holds only strings and numbers.
+	ctx.SetBody(append(body, '\n'))
+}
+
+// Decode reads a refusal from an answer's headers; found is false for an
+// answer of a backend server.
+func (r *Refusal) Decode(header *fasthttp.ResponseHeader) (found bool) {
+	outcome := Outcome(header.Peek(HeaderOutcome))
+	if outcome != NotRun && outcome != Unknown {
+		return false
+	}
+	r.Outcome = outcome
+	r.Reason = Reason(header.Peek(HeaderReason))
+	wait, err := strconv.ParseInt(string(header.Peek(HeaderRetryAfterMs)), 10, 64)
+	if err == nil && wait > 0 {
+		r.RetryAfterMs = timer.Millis(wait)
+	}
+	return true
+}
+
+func (r Refusal) status() int {
+	switch r.Reason {
+	case ReasonBadRequest, ReasonKeyRequired:
+		return fasthttp.StatusBadRequest
+	case ReasonNoService:
+		return fasthttp.StatusNotFound
+	case ReasonTooDeep:
+		return fasthttp.StatusLoopDetected
+	case ReasonKeyMismatch:
+		return fasthttp.StatusUnprocessableEntity
+	case ReasonKeyInProgress, ReasonKeyDone, ReasonOwnerLost:
+		return fasthttp.StatusConflict
+	case ReasonTooManyRequest:
+		return fasthttp.StatusTooManyRequests
+	}
+	if r.Outcome == Unknown {
+		if r.Reason == ReasonDeadline {
+			return fasthttp.StatusGatewayTimeout
+		}
+		return fasthttp.StatusBadGateway
+	}
+	return fasthttp.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/transport/forwarder/forwarder.go
@@ -0,0 +1,160 @@
+// Package forwarder sends HTTP requests with fasthttp and reports exactly how
+// far each one got. It never sends a request again after a byte was written.
+//
+// fasthttp repeats idempotent requests up to 5 times on its own; every client
+// made here turns that off. The one repetition left is for a pooled connection
+// that the other end had already closed, when no byte was written.
+//
+// # Usage
+//
+//	f := forwarder.New(forwarder.Config{Address: "10.0.0.5:8002", MaxConnections: 240})
+//	result := f.Send(request, response, 200*timer.Millisecond)
+//	switch result {
+//	case forwarder.Answered: ...
+//	case forwarder.NotWritten: ...
+//	case forwarder.Broken, forwarder.TimedOut, forwarder.Incomplete: ...
+//	}
+package forwarder
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Limits of pooled connections. A connection that went silent costs one
+// timeout at most, because idle ones are dropped early and all idle ones are
+// dropped after a timeout.
+const (
+	maxIdle = 2 * timer.Second
+	maxAge  = 60 * timer.Second
+	// maxStale bounds how often Send moves on from closed pooled connections.
+	maxStale = 3
+)
+
+// Config describes one destination.
+type Config struct {
+	Address        identifier.Address
+	MaxConnections int
+	ConnectTimeout timer.Millis
+	// MaxAnswerBytes bounds the body of an answer.
+	MaxAnswerBytes int
+	// MaxIdle overrides how long an unused connection is kept.
+	MaxIdle timer.Millis
+}
+
+// Result says how far a request got.
+type Result int
+
+// Results of Send.
+const (
+	// Answered means that the whole answer was read.
+	Answered Result = iota
+	// NotWritten means that no byte was written: the request did not run.
+	NotWritten
+	// Refused is NotWritten because the destination refuses connections.
+	Refused
+	// TimedOut means that the time was used up after a byte was written.
+	TimedOut
+	// Broken means that the connection ended before the answer began.
+	Broken
+	// Incomplete means that the answer ended early or its end cannot be known.
+	Incomplete
+)
+
+// Forwarder sends requests to one destination. It is safe for concurrent use.
+type Forwarder struct {
+	client fasthttp.HostClient
+}
+
+// New returns a forwarder; it connects when the first request is sent.
+func New(config Config) *Forwarder {
+	if config.MaxIdle == 0 {
+		config.MaxIdle = maxIdle
+	}
+	dial := func(address string, _ time.Duration) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, config.ConnectTimeout.Duration())
+		if err != nil {
+			return nil, &dialError{err}
+		}
+		return newConnection(conn), nil
+	}
+	return &Forwarder{client: fasthttp.HostClient{
+		Addr:                          string(config.Address),
+		DialTimeout:                   dial,
+		MaxConns:                      config.MaxConnections,
+		MaxIdleConnDuration:           config.MaxIdle.Duration(),
+		MaxConnDuration:               maxAge.Duration(),
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    neverRetry,
+		MaxResponseBodySize:           config.MaxAnswerBytes,
+		ReadBufferSize:                32 << 10,
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: false,
+		DisablePathNormalizing:        true,
+	}}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// Send forwards a request and waits for the whole answer. The request and the
+// response stay in use until it returns.
+func (f *Forwarder) Send(request *fasthttp.Request, response *fasthttp.Response, timeout timer.Millis) Result {
+	deadline := time.Now().Add(timeout.Duration())
+	for range maxStale {
+		err := f.client.DoDeadline(request, response, deadline)
+		if errors.Is(err, errStale) {
+			f.client.CloseIdleConnections()
+			continue
+		}
+		result := classify(response, err)
+		if result == TimedOut {
+			f.client.CloseIdleConnections()
+		}
+		return result
+	}
+	return NotWritten
+}
+
+// CloseIdle closes all idle connections.
+func (f *Forwarder) CloseIdle() { f.client.CloseIdleConnections() }
+
+func classify(response *fasthttp.Response, err error) Result {
+	address, tracked := response.LocalAddr().(*connectionAddr)
+	if err == nil {
+		if tracked && address.conn.ended {
+			return Incomplete
+		}
+		return Answered
+	}
+	var failed *dialError
+	if errors.As(err, &failed) {
+		return Refused
+	}
+	if !tracked || address.conn.unwritten {
+		return NotWritten
+	}
+	if address.conn.phase == phaseAnswered {
+		return Incomplete
+	}
+	if isTimeout(err) {
+		return TimedOut
+	}
+	return Broken
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// dialError marks an error from opening a connection.
+type dialError struct{ error }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.error }
