--- a/internal/protocol/encoder/load.go
+++ b/internal/protocol/encoder/load.go
@@ -1,11 +1,12 @@
 package encoder
 
 import (
-	"encoding/binary"
-	"strconv"
-	"strings"
+	"encoding/base64"
+	"math"
 
-	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
 )
 
 // Load is admission's current load, as probes and answers carry it.
@@ -13,75 +14,60 @@
 	InFlight int32
 	Queued   int32
 	Limit    int32
-	Latency  timer.Millis
-	Cold     bool
+	// LatencyMicros is the moving mean of the backend server's latency in
+	// microseconds.
+	LatencyMicros int64
+	Cold          bool
 }
 
 // LoadFieldBytes bounds the size of the load header with its name on the wire.
 const LoadFieldBytes = 64
 
-const loadBytes = 17
-
-// String formats the load for a header.
-func (l Load) String() string {
-	buf := make([]byte, 0, 32)
-	for _, number := range []int64{int64(l.InFlight), int64(l.Queued), int64(l.Limit), int64(l.Latency)} {
-		buf = strconv.AppendInt(buf, number, 10)
-		buf = append(buf, ',')
+// Message converts the load to its wire form.
+func (l Load) Message() *peerv1.Load {
+	return &peerv1.Load{
+		InFlight:  uint32(max(l.InFlight, 0)),
+		Queued:    uint32(max(l.Queued, 0)),
+		Limit:     uint32(max(l.Limit, 0)),
+		LatencyUs: uint32(min(max(l.LatencyMicros, 0), math.MaxUint32)),
+		Cold:      l.Cold,
 	}
-	if l.Cold {
-		return string(append(buf, '1'))
-	}
-	return string(append(buf, '0'))
 }
 
-// ParseLoad reads and checks a load as String formats it.
-func ParseLoad(text string) (Load, error) {
-	fields := strings.Split(text, ",")
-	if len(fields) != 5 {
-		return Load{}, Error.New("%s %q does not have 5 fields", HeaderLoad, text)
+// LoadFromMessage checks a load that came from another daemon.
+func LoadFromMessage(message *peerv1.Load) (Load, error) {
+	if message == nil {
+		return Load{}, Error.New("load is missing")
 	}
-	var numbers [5]int64
-	for i, field := range fields {
-		number, err := strconv.ParseInt(field, 10, 32)
-		if err != nil || number < 0 {
-			return Load{}, Error.New("%s %q: field %d is not a count", HeaderLoad, text, i)
+	for _, count := range []uint32{message.InFlight, message.Queued, message.Limit} {
+		if count > math.MaxInt32 {
+			return Load{}, Error.New("load has a count of %d", count)
 		}
-		numbers[i] = number
 	}
 	return Load{
-		InFlight: int32(numbers[0]), Queued: int32(numbers[1]), Limit: int32(numbers[2]),
-		Latency: timer.Millis(numbers[3]), Cold: numbers[4] == 1,
+		InFlight: int32(message.InFlight), Queued: int32(message.Queued), Limit: int32(message.Limit),
+		LatencyMicros: int64(message.LatencyUs), Cold: message.Cold,
 	}, nil
 }
 
-// AppendBinary appends the load in network byte order.
-func (l Load) AppendBinary(buf []byte) []byte {
-	buf = binary.BigEndian.AppendUint32(buf, uint32(l.InFlight))
-	buf = binary.BigEndian.AppendUint32(buf, uint32(l.Queued))
-	buf = binary.BigEndian.AppendUint32(buf, uint32(l.Limit))
-	buf = binary.BigEndian.AppendUint32(buf, uint32(l.Latency))
-	if l.Cold {
-		return append(buf, 1)
+// String encodes the load for a header.
+func (l Load) String() string {
+	data, err := proto.Marshal(l.Message())
+	if err != nil {
+		return ""
 	}
-	return append(buf, 0)
+	return base64.RawStdEncoding.EncodeToString(data)
 }
 
-// DecodeBinary reads and checks what AppendBinary writes.
-func (l *Load) DecodeBinary(data []byte) error {
-	if len(data) != loadBytes {
-		return Error.New("load has %d bytes, want %d", len(data), loadBytes)
-	}
-	decoded := Load{
-		InFlight: int32(binary.BigEndian.Uint32(data)),
-		Queued:   int32(binary.BigEndian.Uint32(data[4:])),
-		Limit:    int32(binary.BigEndian.Uint32(data[8:])),
-		Latency:  timer.Millis(binary.BigEndian.Uint32(data[12:])),
-		Cold:     data[16] == 1,
+// ParseLoad reads and checks a load as String encodes it.
+func ParseLoad(text []byte) (Load, error) {
+	data, err := base64.RawStdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return Load{}, Error.New("%s %q: %v", HeaderLoad, text, err)
 	}
-	if decoded.InFlight < 0 || decoded.Queued < 0 || decoded.Limit < 0 {
-		return Error.New("load has a negative count")
+	message := new(peerv1.Load)
+	if err := proto.Unmarshal(data, message); err != nil {
+		return Load{}, Error.New("%s %q: %v", HeaderLoad, text, err)
 	}
-	*l = decoded
-	return nil
+	return LoadFromMessage(message)
 }
