Add deduplication of keyed requests across daemons

Each key shard has one owner agreed through the ownership stream. Claims live in the owner's memory; successors promise not to take over.

The property test found that a handover dropped the owner's own knowledge gap: an owner that had lost its predecessor's claims handed over as if it knew them all. Handovers now carry the gap. Ruled out: late promises and repeated appends.

--- /dev/null
+++ b/internal/state/deduplicator/claims.go
@@ -0,0 +1,203 @@
+package deduplicator
+
+import (
+	"container/list"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Bounds of the claim table.
+const (
+	// MaxAnswerBytes is the largest answer that is kept for a resend.
+	MaxAnswerBytes = 16 << 10
+	// MaxTotalAnswerBytes bounds all kept answers.
+	MaxTotalAnswerBytes = 8 << 20
+	// MaxClaims bounds the keys of one daemon.
+	MaxClaims = 100_000
+)
+
+// takeover describes the begin of this daemon's ownership of a shard.
+type takeover struct {
+	// lost is set if the claims of an earlier owner are not known.
+	lost bool
+	wall timer.Millis
+	now  timer.Millis
+}
+
+// Claims is the owner's table of keys. It is not safe for concurrent use.
+type Claims struct {
+	claims map[Key]*list.Element
+	// order lists the claims by time of their grant.
+	order       *list.List
+	answerBytes int
+	takeovers   map[identifier.Shard]takeover
+	// inherited holds the begin that came with a handover.
+	inherited map[identifier.Shard]takeover
+}
+
+// NewClaims returns an empty table.
+func NewClaims() *Claims {
+	return &Claims{
+		claims:    map[Key]*list.Element{},
+		order:     list.New(),
+		takeovers: map[identifier.Shard]takeover{},
+		inherited: map[identifier.Shard]takeover{},
+	}
+}
+
+// Begin starts the ownership of a shard. Lost tells that an earlier owner's
+// claims are not known, so keys it may have seen must not run.
+func (c *Claims) Begin(now, wall timer.Millis, shard identifier.Shard, lost bool) {
+	begin := takeover{lost: lost, wall: wall, now: now}
+	// An owner that handed over may itself not know all earlier claims.
+	if inherited, found := c.inherited[shard]; found && !lost {
+		begin = inherited
+	}
+	delete(c.inherited, shard)
+	c.takeovers[shard] = begin
+}
+
+// End drops the claims of a shard that this daemon no longer owns.
+func (c *Claims) End(shard identifier.Shard) {
+	delete(c.takeovers, shard)
+	for e := c.order.Front(); e != nil; {
+		next := e.Next()
+		if claimOf(e).Shard == shard {
+			c.remove(e)
+		}
+		e = next
+	}
+}
+
+// Claim decides about one arrival. The caller has checked the lease. The answer
+// is set for Done if it was kept.
+func (c *Claims) Claim(now, wall timer.Millis, request Request) (Verdict, []byte) {
+	c.expire(now)
+	if e, found := c.claims[request.Key]; found {
+		return c.repeated(claimOf(e), request)
+	}
+	if c.mayBeSeen(now, wall, request) {
+		return OwnerLost, nil
+	}
+	if len(c.claims) >= MaxClaims {
+		return Full, nil
+	}
+	c.add(&Claim{
+		Key: request.Key, Shard: request.Shard, Fingerprint: request.Fingerprint,
+		Token: request.Token, ExpiresAt: now + request.Window,
+	})
+	return Granted, nil
+}
+
+func (c *Claims) repeated(claim *Claim, request Request) (Verdict, []byte) {
+	switch {
+	case claim.Fingerprint != request.Fingerprint:
+		return Mismatch, nil
+	case claim.Done:
+		return Done, claim.Answer
+	case claim.Token == request.Token:
+		// The answer to the first claim of this arrival was lost.
+		return Granted, nil
+	}
+	return InProgress, nil
+}
+
+// mayBeSeen tells whether a key without a claim may have run before: a dated
+// key from before the takeover or beyond the window, or, for a window after a
+// takeover with lost claims, any key without a date.
+func (c *Claims) mayBeSeen(now, wall timer.Millis, request Request) bool {
+	begin, owned := c.takeovers[request.Shard]
+	if !owned {
+		return true
+	}
+	created, dated := CreatedAt(request.Key.Key)
+	if dated && created < wall-request.Window+ClockTolerance {
+		return true
+	}
+	if !begin.lost || now >= begin.now+request.Window {
+		return false
+	}
+	return !dated || created <= begin.wall+ClockTolerance
+}
+
+// Settle records how a claimed request ended. A report of another arrival than
+// the one that holds the claim has no effect.
+func (c *Claims) Settle(key Key, token Token, outcome Outcome, answer []byte) {
+	e, found := c.claims[key]
+	if !found || claimOf(e).Token != token || claimOf(e).Done {
+		return
+	}
+	claim := claimOf(e)
+	switch outcome {
+	case OutcomeNotRun:
+		c.remove(e)
+	case OutcomeComplete:
+		claim.Done = true
+		c.keepAnswer(claim, answer)
+	case OutcomeUnknown:
+	}
+}
+
+func (c *Claims) keepAnswer(claim *Claim, answer []byte) {
+	if len(answer) > MaxAnswerBytes || c.answerBytes+len(answer) > MaxTotalAnswerBytes {
+		return
+	}
+	claim.Answer = answer
+	c.answerBytes += len(answer)
+}
+
+// Export returns the claims of a shard for a handover.
+func (c *Claims) Export(now timer.Millis, shard identifier.Shard, epoch identifier.Epoch) Handover {
+	begin := c.takeovers[shard]
+	handover := Handover{Shard: shard, Epoch: epoch, Lost: begin.lost, LostAt: begin.wall, LostAge: now - begin.now}
+	for e := c.order.Front(); e != nil; e = e.Next() {
+		claim := *claimOf(e)
+		if claim.Shard == shard {
+			claim.ExpiresAt -= now
+			handover.Claims = append(handover.Claims, claim)
+		}
+	}
+	return handover
+}
+
+// Import adds the claims of a handover. It reports whether all could be kept.
+func (c *Claims) Import(now timer.Millis, handover Handover) bool {
+	if len(c.claims)+len(handover.Claims) > MaxClaims {
+		return false
+	}
+	c.inherited[handover.Shard] = takeover{lost: handover.Lost, wall: handover.LostAt, now: now - handover.LostAge}
+	for _, claim := range handover.Claims {
+		if _, found := c.claims[claim.Key]; found {
+			continue
+		}
+		kept := claim
+		kept.ExpiresAt += now
+		kept.Answer = nil
+		c.add(&kept)
+		c.keepAnswer(&kept, claim.Answer)
+	}
+	return true
+}
+
+// Len returns the number of claims.
+func (c *Claims) Len() int { return len(c.claims) }
+
+func (c *Claims) add(claim *Claim) { c.claims[claim.Key] = c.order.PushBack(claim) }
+
+func (c *Claims) remove(e *list.Element) {
+	claim := claimOf(e)
+	c.answerBytes -= len(claim.Answer)
+	delete(c.claims, claim.Key)
+	c.order.Remove(e)
+}
+
+// expire drops the oldest claims whose window has passed. Windows differ little,
+// so a claim behind one with a longer window is dropped somewhat later.
+func (c *Claims) expire(now timer.Millis) {
+	for e := c.order.Front(); e != nil && claimOf(e).ExpiresAt <= now; e = c.order.Front() {
+		c.remove(e)
+	}
+}
+
+func claimOf(e *list.Element) *Claim { return e.Value.(*Claim) }
--- /dev/null
+++ b/internal/state/deduplicator/lease.go
@@ -0,0 +1,343 @@
+package deduplicator
+
+import (
+	"slices"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Times after which a daemon acts on a shard again.
+const (
+	// appendInterval is the time between two appends for the same shard.
+	appendInterval = 2 * timer.Second
+	// rankDelay lets a preferred daemon act first.
+	rankDelay = timer.Second
+	// maxUnownedRank bounds the daemons that claim a shard without owner.
+	maxUnownedRank = 3
+	// successorTimeout is how long a promise may be missing before the owner
+	// names another successor.
+	successorTimeout = 2 * PromiseSpan
+	// logFresh is how recently the log must have been read to its end before a
+	// takeover is tried. A successor that appended can give no promise until
+	// the log has decided, so it does not try while the log is down.
+	logFresh = 3 * timer.Second
+	// goneTimeout is how long owner and successors must be missing from the
+	// membership before another daemon announces an intent.
+	goneTimeout = 30 * timer.Second
+)
+
+// shardLease is what this daemon knows about one shard beside the fold.
+type shardLease struct {
+	// As owner: the time until which each successor's promise holds, by index.
+	promises   [maxSuccessors]timer.Millis
+	epochSince timer.Millis
+	released   identifier.Epoch
+	// As successor.
+	promisedUntil timer.Millis
+	takingOver    bool
+	imported      identifier.Epoch
+	// As any other daemon.
+	intentAppendedAt timer.Millis
+	goneSince        timer.Millis
+
+	lastAppend timer.Millis
+	// owned is set while the folded owner is this daemon.
+	owned bool
+}
+
+// Lease decides when this daemon may grant claims and when it takes shards
+// over. It is not safe for concurrent use.
+type Lease struct {
+	self         Claimant
+	ownership    *Ownership
+	shards       []shardLease
+	members      []Member
+	startedAt    timer.Millis
+	logConfirmed timer.Millis
+	logSeen      bool
+	stopping     bool
+	lastRenewal  timer.Millis
+}
+
+// NewLease returns the lease state of a daemon that starts now.
+func NewLease(self Claimant, ownership *Ownership, now timer.Millis) *Lease {
+	return &Lease{
+		self: self, ownership: ownership, startedAt: now,
+		shards: make([]shardLease, ownership.Count()), lastRenewal: now - RenewInterval,
+	}
+}
+
+// Step handles an event and appends the resulting actions.
+func (l *Lease) Step(now timer.Millis, event Event, actions []Action) []Action {
+	switch e := event.(type) {
+	case Tick:
+		return l.tick(now, actions)
+	case Folded:
+		return l.folded(now, e.Record, actions)
+	case Restored:
+		for i := range l.shards {
+			actions = l.folded(now, l.ownership.Current(identifier.Shard(i)), actions)
+		}
+	case LogConfirmed:
+		l.logConfirmed, l.logSeen = now, true
+	case Members:
+		l.members = e.List
+	case PromiseAnswered:
+		l.promised(e)
+	case Appended:
+		l.noteAppended(now, e.Records)
+	case AppendRefused:
+		l.noteRefused(e.Records)
+	case HandedOver:
+		l.shards[e.Shard].imported = e.Epoch
+		l.shards[e.Shard].promisedUntil = now
+	case Released:
+		l.shards[e.Shard].released = e.Epoch
+	case Stopping:
+		l.stopping = true
+	}
+	return actions
+}
+
+// CanGrant tells whether this daemon may grant claims in an epoch right now.
+func (l *Lease) CanGrant(now timer.Millis, shard identifier.Shard, epoch identifier.Epoch) bool {
+	current := l.ownership.Current(shard)
+	if current.Epoch != epoch || epoch == 0 || current.Owner != l.self {
+		return false
+	}
+	if l.shards[shard].released == epoch {
+		return false
+	}
+	if !l.logSeen || now >= l.logConfirmed+LogContactSpan {
+		return false
+	}
+	for i := range current.Successors {
+		if now >= l.shards[shard].promises[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Promise answers an owner that renews its promises; it returns the shards for
+// which this daemon promises not to take over for PromiseSpan.
+func (l *Lease) Promise(now timer.Millis, owner Claimant, shards []ShardEpoch) []ShardEpoch {
+	var granted []ShardEpoch
+	for _, wanted := range shards {
+		current := l.ownership.Current(wanted.Shard)
+		if current.Epoch != wanted.Epoch || current.Owner != owner || !slices.Contains(current.Successors, l.self) {
+			continue
+		}
+		state := &l.shards[wanted.Shard]
+		if state.takingOver || state.imported == wanted.Epoch {
+			continue
+		}
+		state.promisedUntil = now + PromiseSpan
+		granted = append(granted, wanted)
+	}
+	return granted
+}
+
+func (l *Lease) promised(e PromiseAnswered) {
+	for _, granted := range e.Granted {
+		current := l.ownership.Current(granted.Shard)
+		if current.Epoch != granted.Epoch || current.Owner != l.self {
+			continue
+		}
+		i := slices.Index(current.Successors, e.Successor)
+		if i < 0 {
+			continue
+		}
+		// The promise began after the request was sent, so counting from the
+		// sending ends before the successor's own count.
+		until := e.SentAt + min(e.Span, PromiseSpan) - PromiseMargin
+		state := &l.shards[granted.Shard]
+		state.promises[i] = max(state.promises[i], until)
+	}
+}
+
+func (l *Lease) folded(now timer.Millis, record Record, actions []Action) []Action {
+	if record.Kind != KindOwn {
+		return actions
+	}
+	state := &l.shards[record.Shard]
+	wasOwner := state.owned
+	lost := record.BasedOnEpoch != 0 && state.imported != record.BasedOnEpoch
+	isOwner := record.Owner == l.self
+	*state = shardLease{
+		epochSince: now, promisedUntil: now + PromiseSpan,
+		lastAppend: state.lastAppend, owned: isOwner,
+	}
+	if isOwner {
+		l.lastRenewal = now - RenewInterval
+	}
+	switch {
+	case isOwner && !wasOwner:
+		return append(actions, Began{Shard: record.Shard, Epoch: record.Epoch, Lost: lost})
+	case !isOwner && wasOwner:
+		return append(actions, Ended{Shard: record.Shard})
+	}
+	return actions
+}
+
+func (l *Lease) noteAppended(now timer.Millis, records []Record) {
+	for _, record := range records {
+		if record.Kind == KindIntent && record.BasedOnEpoch == l.ownership.Current(record.Shard).Epoch {
+			state := &l.shards[record.Shard]
+			if state.intentAppendedAt == 0 {
+				state.intentAppendedAt = now
+			}
+		}
+	}
+}
+
+func (l *Lease) noteRefused(records []Record) {
+	for _, record := range records {
+		l.shards[record.Shard].takingOver = false
+	}
+}
+
+func (l *Lease) tick(now timer.Millis, actions []Action) []Action {
+	var records []Record
+	for i := range l.shards {
+		shard := identifier.Shard(i)
+		if record, due := l.nextRecord(now, shard); due && l.mayAppend(now, shard) {
+			l.shards[shard].lastAppend = now
+			records = append(records, record)
+		}
+	}
+	if len(records) > 0 {
+		actions = append(actions, Append{Records: records})
+	}
+	return l.renew(now, actions)
+}
+
+func (l *Lease) mayAppend(now timer.Millis, shard identifier.Shard) bool {
+	last := l.shards[shard].lastAppend
+	fresh := l.logSeen && now-l.logConfirmed <= logFresh
+	return fresh && (last == 0 || now-last >= appendInterval)
+}
+
+// nextRecord returns the record that this daemon wants in the log for a shard.
+func (l *Lease) nextRecord(now timer.Millis, shard identifier.Shard) (Record, bool) {
+	if l.stopping {
+		return Record{}, false
+	}
+	current := l.ownership.Current(shard)
+	switch {
+	case current.Epoch == 0:
+		rank := rankOf(shard, l.members, l.self.Instance)
+		due := len(l.members) > 0 && rank < maxUnownedRank && now-l.startedAt >= timer.Millis(rank+1)*rankDelay
+		return l.own(now, shard, current), due
+	case current.Owner == l.self:
+		return l.own(now, shard, current), l.wantsRenewal(now, shard, current)
+	case slices.Contains(current.Successors, l.self):
+		return l.takeOver(now, shard, current)
+	}
+	return l.outsider(now, shard, current)
+}
+
+// own returns the record that makes this daemon the owner. It names neither
+// the owner that is replaced nor successors that stopped answering.
+func (l *Lease) own(now timer.Millis, shard identifier.Shard, current Record) Record {
+	avoid := []Claimant{current.Owner}
+	if current.Owner == l.self {
+		avoid = l.silentSuccessors(now, shard, current)
+	}
+	return Record{
+		Kind: KindOwn, Shard: shard, Epoch: current.Epoch + 1, BasedOnEpoch: current.Epoch,
+		Owner: l.self, Successors: chooseSuccessors(shard, l.members, l.self, avoid),
+	}
+}
+
+func (l *Lease) silentSuccessors(now timer.Millis, shard identifier.Shard, current Record) []Claimant {
+	state := &l.shards[shard]
+	var silent []Claimant
+	for i, successor := range current.Successors {
+		if now-max(state.promises[i], state.epochSince) >= successorTimeout {
+			silent = append(silent, successor)
+		}
+	}
+	return silent
+}
+
+// wantsRenewal tells whether the owner should found a new epoch: a successor is
+// missing, more daemons can be successors, or another daemon announced an intent.
+func (l *Lease) wantsRenewal(now timer.Millis, shard identifier.Shard, current Record) bool {
+	state := &l.shards[shard]
+	if state.released == current.Epoch {
+		return false
+	}
+	if l.ownership.HasIntent(shard) {
+		return true
+	}
+	if len(current.Successors) < maxSuccessors && len(l.members) > len(current.Successors)+1 {
+		return now-state.epochSince >= successorTimeout
+	}
+	return len(l.silentSuccessors(now, shard, current)) > 0
+}
+
+func (l *Lease) takeOver(now timer.Millis, shard identifier.Shard, current Record) (Record, bool) {
+	state := &l.shards[shard]
+	wait := rankDelay * timer.Millis(slices.Index(current.Successors, l.self))
+	if state.imported == current.Epoch {
+		wait = 0
+	}
+	if now < max(state.promisedUntil, l.startedAt)+wait || !l.mayAppend(now, shard) {
+		return Record{}, false
+	}
+	state.takingOver = true
+	return l.own(now, shard, current), true
+}
+
+// outsider acts when owner and successors are all gone from the membership.
+func (l *Lease) outsider(now timer.Millis, shard identifier.Shard, current Record) (Record, bool) {
+	state := &l.shards[shard]
+	if state.intentAppendedAt != 0 {
+		return l.own(now, shard, current), now-state.intentAppendedAt >= IntentSpan
+	}
+	if l.anyRuns(append([]Claimant{current.Owner}, current.Successors...)) {
+		state.goneSince = 0
+		return Record{}, false
+	}
+	if state.goneSince == 0 {
+		state.goneSince = now
+	}
+	due := now-state.goneSince >= goneTimeout && rankOf(shard, l.members, l.self.Instance) == 0
+	return Record{
+		Kind: KindIntent, Shard: shard, Epoch: current.Epoch, BasedOnEpoch: current.Epoch, Owner: l.self,
+	}, due
+}
+
+func (l *Lease) anyRuns(claimants []Claimant) bool {
+	return slices.ContainsFunc(l.members, func(m Member) bool { return slices.Contains(claimants, m.Claimant) })
+}
+
+// renew asks all successors of this daemon's shards for promises, one message
+// for each successor.
+func (l *Lease) renew(now timer.Millis, actions []Action) []Action {
+	if now-l.lastRenewal < RenewInterval {
+		return actions
+	}
+	l.lastRenewal = now
+	requests := map[Claimant][]ShardEpoch{}
+	var order []Claimant
+	for i := range l.shards {
+		shard := identifier.Shard(i)
+		current := l.ownership.Current(shard)
+		if current.Owner != l.self || current.Epoch == 0 || l.shards[i].released == current.Epoch {
+			continue
+		}
+		for _, successor := range current.Successors {
+			if requests[successor] == nil {
+				order = append(order, successor)
+			}
+			requests[successor] = append(requests[successor], ShardEpoch{shard, current.Epoch})
+		}
+	}
+	for _, successor := range order {
+		actions = append(actions, RequestPromises{Successor: successor, Shards: requests[successor]})
+	}
+	return actions
+}
