Add the stand-in of the platform's log

The daemons need a log with offsets, limited retention, a limited append rate and faults on demand before anything can be tested against it.

Outages (closed, 503 or hanging), slowness, lost append answers and expiry are set through POST /faults; GET /stats shows the streams. The rate limit is a token bucket that holds a tenth of a second.

--- /dev/null
+++ b/cmd/magnoliabench/main.go
@@ -0,0 +1,35 @@
+// Command magnoliabench runs stand-ins of the platform and the load tool.
+//
+// # Usage
+//
+//	magnoliabench log --listen 127.0.0.1:7000
+//	magnoliabench backend --listen 127.0.0.1:8000 --announce http://127.0.0.1:9000/announce
+//	magnoliabench load --target 127.0.0.1:9100 --rate 500 --duration 10s
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	root := &cobra.Command{
+		Use:           "magnoliabench",
+		Short:         "Stand-ins of the platform and load tool",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	root.AddCommand(newLogCommand(log))
+	if err := root.ExecuteContext(ctx); err != nil {
+		log.Error("failed", "error", err.Error())
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bench/logserver/server.go
@@ -0,0 +1,146 @@
+// Package logserver stands in for the platform's append-only log: streams of
+// records with offsets from 0, limited retention, a limited append rate, and
+// faults on demand. Everything is in memory.
+//
+// Store and Faults are state machines; Server puts them behind HTTP.
+//
+// # Usage
+//
+//	server := logserver.NewServer(config, timer.NewSystem(), random, logger)
+//	go server.Serve(socket)
+//	...
+//	server.Shutdown()
+package logserver
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/bench/listener"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Classes of errors of this package.
+var (
+	Error = errs.Class("log server")
+	// Invalid is an error in a request.
+	Invalid = errs.Class("invalid")
+	// RateExceeded is a refusal over the append rate.
+	RateExceeded = errs.Class("rate exceeded")
+)
+
+const (
+	shutdownTimeout = 5 * timer.Second
+	maxWait         = timer.Minute
+	// Bodies somewhat over the record limit are read whole, so that the client
+	// can send them to the end and read the refusal.
+	bodySlackBytes = 1 << 20
+)
+
+// Server answers the log's HTTP interface.
+type Server struct {
+	clock timer.Clock
+	log   *slog.Logger
+	http  *fasthttp.Server
+	stop  chan struct{}
+
+	mu      sync.Mutex
+	store   *Store
+	faults  *Faults
+	changed map[appender.Stream]chan struct{} // closed at the next append
+}
+
+// NewServer returns a server with an empty store.
+func NewServer(config StoreConfig, clock timer.Clock, random *rand.Rand, log *slog.Logger) *Server {
+	s := &Server{
+		clock: clock, log: log, stop: make(chan struct{}),
+		store: NewStore(config), faults: NewFaults(random),
+		changed: make(map[appender.Stream]chan struct{}),
+	}
+	s.http = &fasthttp.Server{
+		Name:               "magnoliabench-log",
+		Handler:            s.handle,
+		Logger:             listener.QuietLogger{Log: log},
+		ErrorHandler:       answerUnreadable,
+		MaxRequestBodySize: config.MaxRecordBytes + bodySlackBytes,
+	}
+	return s
+}
+
+// Serve answers requests until Shutdown.
+func (s *Server) Serve(socket net.Listener) error { return Error.Wrap(s.http.Serve(socket)) }
+
+// Shutdown ends waiting reads, lets running requests finish and stops.
+func (s *Server) Shutdown() error {
+	close(s.stop)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout.Duration())
+	defer cancel()
+	return Error.Wrap(s.http.ShutdownWithContext(ctx))
+}
+
+// append stores a record and reports whether its answer must be lost.
+func (s *Server) append(name appender.Stream, payload []byte) (offset identifier.Offset, lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset, err = s.store.Append(s.clock.Now(), name, payload)
+	if err != nil {
+		return 0, false, err
+	}
+	s.wake(name)
+	return offset, s.faults.LoseAnswer(), nil
+}
+
+// read returns records, and the channel that closes when there may be more.
+func (s *Server) read(name appender.Stream, from identifier.Offset, limit int) (appender.Batch, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch, err := s.store.Read(s.clock.Now(), name, from, limit)
+	if err != nil || len(batch.Records) > 0 {
+		return batch, nil, err
+	}
+	if s.changed[name] == nil {
+		s.changed[name] = make(chan struct{})
+	}
+	return batch, s.changed[name], nil
+}
+
+// wake ends the waits on a stream. The caller holds the lock.
+func (s *Server) wake(name appender.Stream) {
+	if waiting := s.changed[name]; waiting != nil {
+		close(waiting)
+		delete(s.changed, name)
+	}
+}
+
+func (s *Server) apply(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.Apply(s.clock.Now(), fault)
+	if fault.Expire != nil {
+		s.store.Expire(fault.Expire.Stream, fault.Expire.Keep)
+	}
+	// Waiting reads check the faults again, so that an outage reaches them.
+	for name := range s.changed {
+		s.wake(name)
+	}
+}
+
+func (s *Server) outage() (OutageMode, timer.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Outage(s.clock.Now())
+}
+
+func (s *Server) delay() timer.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Delay(s.clock.Now())
+}
