Add the stand-in of a backend server

Admission, retries and the at-most-once rule can only be tested against backend servers that turn cold, shed, crash, drain, freeze and close connections on demand, and that count every run.

Answers repeat the request id in their padding, so that a cut or mixed answer is detected at any byte.

Properties for slots, cold start, lag and pauses found one fault before this commit: the end of the starting state was reported one step late.

--- /dev/null
+++ b/internal/bench/answer/answer_test.go
@@ -0,0 +1,46 @@
+package answer_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/bench/answer"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+var text = rapid.StringMatching(`[a-zA-Z0-9_.:-]{1,20}`)
+
+// Guards against a whole answer that is rejected, and against a cut, mixed or
+// foreign answer that is taken for the caller's own.
+func TestCheck(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		payload := rapid.SliceOf(rapid.Byte()).Draw(t, "payload")
+		size := rapid.IntRange(0, 400).Draw(t, "size")
+		own := answer.Answer{
+			Request: answer.RequestID(text.Draw(t, "id")), Checksum: answer.Sum(payload),
+			Instance: identifier.InstanceID(text.Draw(t, "instance")),
+		}
+		want := answer.Want{Request: own.Request, Checksum: own.Checksum, Size: size}
+		body := answer.Append(nil, own, size)
+		if err := answer.Check(body, want); err != nil || !json.Valid(body) {
+			t.Fatalf("%s: %v", body, err)
+		}
+		cut := rapid.IntRange(0, len(body)-1).Draw(t, "cut")
+		if answer.Check(body[:cut], want) == nil {
+			t.Fatalf("cut answer %s was accepted", body[:cut])
+		}
+		other := own
+		other.Request = answer.RequestID(text.Filter(func(id string) bool { return id != string(own.Request) }).Draw(t, "other id"))
+		if err := answer.Check(answer.Append(nil, other, size), want); !answer.Wrong.Has(err) {
+			t.Fatalf("answer of another request gave %v", err)
+		}
+		other = own
+		other.Checksum++
+		if err := answer.Check(answer.Append(nil, other, size), want); !answer.Wrong.Has(err) {
+			t.Fatalf("answer to another body gave %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/bench/backendserver/config.go
@@ -0,0 +1,67 @@
+package backendserver
+
+import (
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// MachineConfig sets the capacity and behaviour of a Machine.
+type MachineConfig struct {
+	Slots      identifier.Slots
+	QueueLimit int // requests beyond the slots; more are shed
+
+	Service ServiceTime
+
+	ColdCompletions int // good completions until warm
+	ColdCapacity    int // requests in flight that a cold server bears
+	ColdSlowFactor  float64
+	ColdCrashFactor int // times ColdCapacity; more in flight crash a cold server
+
+	StartingFor timer.Millis // time in state starting after each start
+
+	NoiseEvery timer.Millis // mean time between pauses; 0 means none
+	NoiseMax   timer.Millis // longest pause
+
+	ReportLag timer.Millis // age of the values that are reported
+}
+
+// Distribution names a distribution of service times.
+type Distribution string
+
+// Distributions of service times.
+const (
+	Fixed     Distribution = "fixed"
+	Lognormal Distribution = "lognormal"
+)
+
+// ServiceTime describes how long a request runs. Median is the fixed time or
+// the median of the lognormal distribution; Sigma is the standard deviation of
+// its logarithm. Longest caps a sample.
+type ServiceTime struct {
+	Distribution Distribution
+	Median       time.Duration
+	Sigma        float64
+	Longest      time.Duration
+}
+
+// Config sets up a Server.
+type Config struct {
+	Machine     MachineConfig
+	Service     identifier.ServiceName
+	Instance    identifier.InstanceID
+	Address     identifier.Address
+	Connections int // open at once; more are closed at accept
+	AnnounceURL string
+
+	CrashMarker  string // in a path or body; empty means none
+	SoftCrash    bool
+	SoftCrashFor timer.Millis // how long connections are refused
+
+	DrainIdle timer.Millis // without a request in flight before a drain ends
+	DrainMax  timer.Millis // longest drain
+
+	// Exit ends the process in a hard crash.
+	Exit func(code int)
+}
--- /dev/null
+++ b/internal/bench/backendserver/fault.go
@@ -0,0 +1,76 @@
+package backendserver
+
+import (
+	"github.com/zeebo/errs"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Invalid is an error in a request or setting.
+var Invalid = errs.Class("invalid")
+
+// Fault is the body of POST /faults. Absent fields change nothing.
+type Fault struct {
+	Clear            bool          `json:"clear,omitempty"`       // ends slowness, freeze and closing before the others apply
+	Cold             bool          `json:"cold,omitempty"`        // turns cold without a new incarnation
+	Drain            *bool         `json:"drain,omitempty"`       // starts or ends draining
+	Crash            bool          `json:"crash,omitempty"`       // crashes at once
+	SlowFactor       *float64      `json:"slow_factor,omitempty"` // multiplies service times
+	SlowForMs        timer.Millis  `json:"slow_for_ms,omitempty"` // 0 means until changed
+	FreezeMs         *timer.Millis `json:"freeze_ms,omitempty"`
+	CloseNext        *int          `json:"close_next,omitempty"` // requests closed after reading
+	CloseProbability *float64      `json:"close_probability,omitempty"`
+	// SilenceConnections makes the connections that are open now go silent.
+	SilenceConnections bool `json:"silence_connections,omitempty"`
+}
+
+// Check returns an error of class Invalid for a value out of range.
+func (f Fault) Check() error {
+	if f.SlowFactor != nil && *f.SlowFactor < 0 {
+		return Invalid.New("slow_factor %v is negative", *f.SlowFactor)
+	}
+	if f.CloseProbability != nil && (*f.CloseProbability < 0 || *f.CloseProbability > 1) {
+		return Invalid.New("close_probability %v is not between 0 and 1", *f.CloseProbability)
+	}
+	if f.SlowForMs < 0 || (f.FreezeMs != nil && *f.FreezeMs < 0) || (f.CloseNext != nil && *f.CloseNext < 0) {
+		return Invalid.New("negative value")
+	}
+	return nil
+}
+
+// faults are the faults in force.
+type faults struct {
+	slowFactor       float64
+	slowUntil        timer.Millis // 0 means without end
+	frozenUntil      timer.Millis
+	closeNext        int
+	closeProbability float64
+}
+
+func (f *faults) apply(now timer.Millis, fault Fault) {
+	if fault.Clear {
+		*f = faults{slowFactor: 1}
+	}
+	if fault.SlowFactor != nil {
+		f.slowFactor, f.slowUntil = *fault.SlowFactor, 0
+		if fault.SlowForMs > 0 {
+			f.slowUntil = now + fault.SlowForMs
+		}
+	}
+	if fault.FreezeMs != nil {
+		f.frozenUntil = now + *fault.FreezeMs
+	}
+	if fault.CloseNext != nil {
+		f.closeNext = *fault.CloseNext
+	}
+	if fault.CloseProbability != nil {
+		f.closeProbability = *fault.CloseProbability
+	}
+}
+
+func (f *faults) slowness(now timer.Millis) float64 {
+	if f.slowUntil != 0 && now >= f.slowUntil {
+		return 1
+	}
+	return f.slowFactor
+}
--- /dev/null
+++ b/internal/bench/backendserver/machine.go
@@ -0,0 +1,174 @@
+package backendserver
+
+import (
+	"math/rand/v2"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Peaks are the largest numbers of requests seen at the same time. In flight
+// means running or queued.
+type Peaks struct {
+	InFlight     int    `json:"max_in_flight"`
+	Running      int    `json:"max_running"`
+	ColdInFlight int    `json:"max_cold_in_flight"`
+	ColdExceeded uint64 `json:"cold_exceeded"` // arrivals over the cold capacity
+	Shed         uint64 `json:"shed"`
+	Crashes      uint64 `json:"crashes"`
+}
+
+type phase int
+
+const (
+	queued phase = iota + 1
+	running
+)
+
+// Machine decides which requests of a backend server run, wait, are shed or
+// crash it. It is not safe for concurrent use.
+type Machine struct {
+	config      MachineConfig
+	random      *rand.Rand
+	incarnation identifier.Incarnation
+	down        bool
+	draining    bool
+	readyAt     timer.Millis
+	faults      faults
+	noise       noise
+	phases      map[Ticket]phase
+	marked      map[Ticket]bool
+	queue       []Ticket
+	running     int
+	coldLeft    int
+	completed   uint64
+	history     history
+	peaks       Peaks
+}
+
+// NewMachine returns the machine of a cold server that starts now.
+func NewMachine(now timer.Millis, config MachineConfig, incarnation identifier.Incarnation, random *rand.Rand) *Machine {
+	m := &Machine{
+		config: config, random: random, faults: faults{slowFactor: 1},
+		noise:   noise{random: random, every: config.NoiseEvery, most: config.NoiseMax},
+		history: history{lag: config.ReportLag},
+	}
+	m.restart(now, incarnation)
+	return m
+}
+
+// Step applies an event. Events of tickets that have ended are ignored.
+func (m *Machine) Step(now timer.Millis, event Event) []Action {
+	m.settle(now)
+	var actions []Action
+	switch e := event.(type) {
+	case Arrived:
+		actions = m.arrive(now, e)
+	case Finished:
+		actions = m.end(now, e.Ticket, true)
+	case Expired:
+		actions = m.end(now, e.Ticket, false)
+	case Faulted:
+		actions = m.apply(now, e.Fault)
+	case Restarted:
+		m.restart(now, e.Incarnation)
+	}
+	m.history.record(now, m.Load(now))
+	return actions
+}
+
+// Live reports whether a ticket is queued or running.
+func (m *Machine) Live(ticket Ticket) bool { return m.phases[ticket] != 0 }
+
+// Running reports whether a ticket is running.
+func (m *Machine) Running(ticket Ticket) bool { return m.phases[ticket] == running }
+
+// Load returns the current load.
+func (m *Machine) Load(now timer.Millis) Load {
+	return Load{
+		State: m.state(now), Incarnation: m.incarnation, Slots: m.config.Slots,
+		Running: m.running, Queued: len(m.queue), InFlight: m.inFlight(),
+		Cold: m.coldLeft > 0, Completed: m.completed,
+	}
+}
+
+// Reported returns the load of the report lag ago.
+func (m *Machine) Reported(now timer.Millis) Load {
+	m.settle(now)
+	return m.history.at(now)
+}
+
+// Peaks returns the largest numbers seen.
+func (m *Machine) Peaks() Peaks { return m.peaks }
+
+// ResetPeaks forgets the largest numbers seen.
+func (m *Machine) ResetPeaks() { m.peaks = Peaks{} }
+
+// FrozenUntil returns until when nothing moves, or zero.
+func (m *Machine) FrozenUntil(now timer.Millis) timer.Millis {
+	until := max(m.faults.frozenUntil, m.noise.pausedUntil(now))
+	if until <= now {
+		return 0
+	}
+	return until
+}
+
+func (m *Machine) state(now timer.Millis) State {
+	switch {
+	case m.down:
+		return Down
+	case m.draining:
+		return Draining
+	case now < m.readyAt:
+		return Starting
+	}
+	return Ready
+}
+
+// settle records the change from starting to ready, which happens without an
+// event.
+func (m *Machine) settle(now timer.Millis) {
+	if now >= m.readyAt && m.history.last() < m.readyAt {
+		m.history.record(m.readyAt, m.Load(m.readyAt))
+	}
+}
+
+func (m *Machine) inFlight() int { return m.running + len(m.queue) }
+
+func (m *Machine) restart(now timer.Millis, incarnation identifier.Incarnation) {
+	m.incarnation = incarnation
+	m.down, m.draining = false, false
+	m.readyAt = now + m.config.StartingFor
+	m.faults.frozenUntil = 0
+	m.coldLeft = m.config.ColdCompletions
+	m.completed = 0
+	m.forget()
+	m.history.record(now, m.Load(now))
+}
+
+func (m *Machine) forget() {
+	m.phases = make(map[Ticket]phase)
+	m.marked = make(map[Ticket]bool)
+	m.queue, m.running = nil, 0
+}
+
+func (m *Machine) apply(now timer.Millis, fault Fault) []Action {
+	m.faults.apply(now, fault)
+	if fault.Cold {
+		m.coldLeft = m.config.ColdCompletions
+	}
+	if fault.Drain != nil {
+		m.draining = *fault.Drain
+	}
+	if fault.Crash && !m.down {
+		return m.crash(nil, CrashFault)
+	}
+	return nil
+}
+
+func (m *Machine) crash(actions []Action, reason CrashReason) []Action {
+	m.down = true
+	m.peaks.Crashes++
+	m.forget()
+	return append(actions, Crash{Reason: reason})
+}
--- /dev/null
+++ b/internal/bench/backendserver/machine_test.go
@@ -0,0 +1,206 @@
+package backendserver_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/bench/backendserver"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func TestBackendServer(t *testing.T) { tester.RunSpecs(t, "backend server") }
+
+const warmService = 10 * time.Millisecond
+
+func drawConfig(t *rapid.T) backendserver.MachineConfig {
+	return backendserver.MachineConfig{
+		Slots:      identifier.Slots(rapid.Int32Range(1, 6).Draw(t, "slots")),
+		QueueLimit: rapid.IntRange(0, 5).Draw(t, "queue"),
+		Service:    backendserver.ServiceTime{Distribution: backendserver.Fixed, Median: warmService},
+		ReportLag:  timer.Millis(rapid.IntRange(0, 50).Draw(t, "lag")),
+	}
+}
+
+func newMachine(now timer.Millis, config backendserver.MachineConfig) *backendserver.Machine {
+	return backendserver.NewMachine(now, config, 1, rand.New(rand.NewPCG(1, 2)))
+}
+
+// slotModel is the expected order of requests.
+type slotModel struct {
+	config  backendserver.MachineConfig
+	running []backendserver.Ticket
+	queue   []backendserver.Ticket
+}
+
+func (s *slotModel) arrive(ticket backendserver.Ticket) (shed bool) {
+	if len(s.running) == int(s.config.Slots) && len(s.queue) == s.config.QueueLimit {
+		return true
+	}
+	s.queue = append(s.queue, ticket)
+	return false
+}
+
+func (s *slotModel) end(ticket backendserver.Ticket) {
+	same := func(other backendserver.Ticket) bool { return other == ticket }
+	s.running = slices.DeleteFunc(s.running, same)
+	s.queue = slices.DeleteFunc(s.queue, same)
+}
+
+func (s *slotModel) start() (started []backendserver.Ticket) {
+	for len(s.queue) > 0 && len(s.running) < int(s.config.Slots) {
+		started = append(started, s.queue[0])
+		s.running = append(s.running, s.queue[0])
+		s.queue = s.queue[1:]
+	}
+	return started
+}
+
+// Guards against more running requests than slots, a queue that is not first in
+// first out, a lost slot, and a refused request that runs.
+func TestMachineSlots(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		config := drawConfig(t)
+		machine, model := newMachine(1, config), slotModel{config: config}
+		for i := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now, ticket := timer.Millis(1+i), backendserver.Ticket(i+1)
+			var event backendserver.Event
+			var want []backendserver.Action
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				event = backendserver.Arrived{Ticket: ticket}
+				if model.arrive(ticket) {
+					want = append(want, backendserver.Shed{Ticket: ticket, Reason: backendserver.ShedOverloaded})
+				}
+			case 2:
+				ended := backendserver.Ticket(rapid.IntRange(1, i+1).Draw(t, "finished"))
+				event = backendserver.Finished{Ticket: ended}
+				model.end(ended)
+			case 3:
+				ended := backendserver.Ticket(rapid.IntRange(1, i+1).Draw(t, "expired"))
+				event = backendserver.Expired{Ticket: ended}
+				model.end(ended)
+			}
+			for _, started := range model.start() {
+				want = append(want, backendserver.Start{Ticket: started, Service: warmService})
+			}
+			if got := machine.Step(now, event); !slices.Equal(got, want) {
+				t.Fatalf("%+v gave %+v, want %+v", event, got, want)
+			}
+			load := machine.Load(now)
+			if load.Running != len(model.running) || load.Queued != len(model.queue) {
+				t.Fatalf("load is %+v, want %+v", load, model)
+			}
+		}
+	})
+}
+
+// Guards against a cold server that bears more than its capacity unharmed, that
+// never becomes warm, or that becomes warm early.
+func TestMachineCold(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		config := drawConfig(t)
+		config.Slots, config.QueueLimit = 100, 0
+		config.ColdCompletions = rapid.IntRange(1, 10).Draw(t, "completions")
+		config.ColdCapacity = rapid.IntRange(1, 4).Draw(t, "capacity")
+		config.ColdCrashFactor = rapid.IntRange(2, 4).Draw(t, "crash factor")
+		config.ColdSlowFactor = 5
+		machine := newMachine(1, config)
+		good, inFlight := 0, 0
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now, ticket := timer.Millis(i+1), backendserver.Ticket(i+1)
+			if inFlight > 0 && rapid.Bool().Draw(t, "ends") {
+				ended := backendserver.Ticket(rapid.IntRange(1, i).Draw(t, "ended"))
+				if machine.Live(ended) {
+					good++
+					inFlight--
+				}
+				machine.Step(now, backendserver.Finished{Ticket: ended})
+				continue
+			}
+			inFlight++
+			cold := good < config.ColdCompletions
+			want := backendserver.Start{Ticket: ticket, Service: warmService}
+			if cold && inFlight > config.ColdCapacity {
+				want.Service *= 5
+			}
+			actions := machine.Step(now, backendserver.Arrived{Ticket: ticket})
+			if actions[0] != want {
+				t.Fatalf("request %d of %d in flight got %+v, want %+v", ticket, inFlight, actions, want)
+			}
+			if crashes := cold && inFlight > config.ColdCapacity*config.ColdCrashFactor; crashes != (len(actions) == 2) {
+				t.Fatalf("crashed with %d in flight, %d completions: %+v", inFlight, good, actions)
+			} else if crashes {
+				machine.Step(now, backendserver.Restarted{Incarnation: 2})
+				good, inFlight = 0, 0
+			}
+			if machine.Load(now).Cold != (good < config.ColdCompletions) {
+				t.Fatalf("load is %+v after %d completions", machine.Load(now), good)
+			}
+		}
+	})
+}
+
+// Guards against reports that are newer or older than the lag.
+func TestMachineLag(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		config := drawConfig(t)
+		config.StartingFor = timer.Millis(rapid.IntRange(0, 40).Draw(t, "starting"))
+		machine := newMachine(1, config)
+		past := []backendserver.Load{machine.Load(1), machine.Load(1)}
+		for i := range rapid.IntRange(1, 200).Draw(t, "time") {
+			now, ticket := timer.Millis(i+2), backendserver.Ticket(i+1)
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				machine.Step(now, backendserver.Arrived{Ticket: ticket})
+			case 1:
+				machine.Step(now, backendserver.Finished{Ticket: backendserver.Ticket(rapid.IntRange(1, i+1).Draw(t, "ended"))})
+			case 2:
+				drain := rapid.Bool().Draw(t, "drain")
+				machine.Step(now, backendserver.Faulted{Fault: backendserver.Fault{Drain: &drain}})
+			}
+			past = append(past, machine.Load(now))
+			want := past[max(now-config.ReportLag, 1)]
+			if got := machine.Reported(now); got != want {
+				t.Fatalf("reported %+v at %d with lag %d, want %+v", got, now, config.ReportLag, want)
+			}
+		}
+	})
+}
+
+// Guards against a freeze or slowness that does not end, and against noise that
+// pauses longer than its bound.
+func TestMachinePauses(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		config := drawConfig(t)
+		config.Slots = 1000
+		config.NoiseEvery = timer.Millis(rapid.IntRange(1, 20).Draw(t, "every"))
+		config.NoiseMax = timer.Millis(rapid.IntRange(1, 9).Draw(t, "most"))
+		machine := newMachine(1, config)
+		factor, freeze := 3.0, timer.Millis(rapid.IntRange(0, 100).Draw(t, "freeze"))
+		span := timer.Millis(rapid.IntRange(1, 100).Draw(t, "slow"))
+		machine.Step(1, backendserver.Faulted{Fault: backendserver.Fault{SlowFactor: &factor, SlowForMs: span, FreezeMs: &freeze}})
+		for now := timer.Millis(1); now < 200; now++ {
+			until := machine.FrozenUntil(now)
+			if now < 1+freeze && until < 1+freeze {
+				t.Fatalf("frozen until %d at %d, want at least %d", until, now, 1+freeze)
+			}
+			if until > max(1+freeze, now+config.NoiseMax) {
+				t.Fatalf("paused until %d at %d", until, now)
+			}
+			want := warmService
+			if now < 1+span {
+				want *= 3
+			}
+			ticket := backendserver.Ticket(now)
+			if got := machine.Step(now, backendserver.Arrived{Ticket: ticket}); got[0] != (backendserver.Start{Ticket: ticket, Service: want}) {
+				t.Fatalf("got %+v at %d, want service %v", got, now, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/bench/backendserver/tally.go
@@ -0,0 +1,84 @@
+package backendserver
+
+import (
+	"strings"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/bench/answer"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+// A million ids take about 100 MB. Runs of further ids are only counted in
+// total and in the overflow.
+const maxTallied = 1_000_000
+
+// Tally counts how often each request id and idempotency key ran.
+type Tally struct {
+	requests map[answer.RequestID]int
+	keys     map[identifier.IdempotencyKey]int
+	total    uint64
+	overflow uint64
+}
+
+// Runs is the answer of GET /runs. Requests and Keys hold the ids that ran more
+// than once or, if all were asked for, every id.
+type Runs struct {
+	Instance   identifier.InstanceID             `json:"instance"`
+	TotalRuns  uint64                            `json:"total_runs"`
+	Overflow   uint64                            `json:"overflow"`
+	RequestIDs int                               `json:"request_ids"`
+	KeyCount   int                               `json:"key_count"`
+	Requests   map[answer.RequestID]int          `json:"requests"`
+	Keys       map[identifier.IdempotencyKey]int `json:"keys"`
+	Peaks
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally {
+	return &Tally{
+		requests: make(map[answer.RequestID]int),
+		keys:     make(map[identifier.IdempotencyKey]int),
+	}
+}
+
+// Add counts one run. An empty id or key is not counted.
+func (t *Tally) Add(request answer.RequestID, key identifier.IdempotencyKey) {
+	t.total++
+	increment(t.requests, request, &t.overflow)
+	increment(t.keys, key, &t.overflow)
+}
+
+func increment[K ~string](counts map[K]int, id K, overflow *uint64) {
+	if id == "" {
+		return
+	}
+	if _, known := counts[id]; !known && len(counts) >= maxTallied {
+		*overflow++
+		return
+	}
+	counts[id]++
+}
+
+// Count returns how often an id ran as a request id and as a key.
+func (t *Tally) Count(id string) (requests, keys int) {
+	return t.requests[answer.RequestID(id)], t.keys[identifier.IdempotencyKey(id)]
+}
+
+// Runs lists the ids that ran at least a number of times. Request ids without
+// the prefix are left out.
+func (t *Tally) Runs(least int, prefix string) Runs {
+	runs := Runs{
+		TotalRuns: t.total, Overflow: t.overflow, RequestIDs: len(t.requests), KeyCount: len(t.keys),
+		Requests: make(map[answer.RequestID]int), Keys: make(map[identifier.IdempotencyKey]int),
+	}
+	for id, count := range t.requests {
+		if count >= least && strings.HasPrefix(string(id), prefix) {
+			runs.Requests[id] = count
+		}
+	}
+	for key, count := range t.keys {
+		if count >= least {
+			runs.Keys[key] = count
+		}
+	}
+	return runs
+}
