--- /dev/null
+++ b/pkg/parser/class.go
@@ -0,0 +1,35 @@
+package parser
+
+import (
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
+)
+
+// Bounds of an instance class.
+const (
+	maxSlots           = 100_000
+	maxConnections     = 1_000_000
+	maxRampCompletions = 1_000_000
+)
+
+// InstanceClass is a kind of backend server with the same capacity.
+type InstanceClass struct {
+	Name        identifier.InstanceClass `json:"name"`
+	Slots       identifier.Slots         `json:"slots"`
+	Connections int64                    `json:"connections"`
+	// ColdLimit bounds the requests in flight on a server in cold start.
+	ColdLimit identifier.Slots `json:"cold_limit"`
+	// RampCompletions is the number of good completions per step of the limit.
+	RampCompletions int64 `json:"ramp_completions"`
+}
+
+func (c *InstanceClass) key() string { return string(c.Name) }
+
+// Check adds what is wrong with the class by itself.
+func (c *InstanceClass) Check(place string, findings *reporter.Findings) {
+	checkName(at(place, "name"), string(c.Name), findings)
+	checkRange(at(place, "slots"), c.Slots, 1, maxSlots, findings)
+	checkRange(at(place, "connections"), c.Connections, 1, maxConnections, findings)
+	checkRange(at(place, "cold_limit"), c.ColdLimit, 1, max(c.Slots, 1), findings)
+	checkRange(at(place, "ramp_completions"), c.RampCompletions, 1, maxRampCompletions, findings)
+}
