Add HTTP adapter of the log

The coordination layer needs a Log that speaks HTTP and JSON and sends each request exactly once; fasthttp repeats idempotent requests up to five times by default. Client sets one attempt, bounds time, payload and answer, and tells refusals (429, 400, or never sent) from errors after which an append may have taken effect. A read whose answer is too large is repeated with a smaller limit.

Tests run over loopback sockets.

--- /dev/null
+++ b/internal/transport/appender/client_test.go
@@ -0,0 +1,161 @@
+package appender_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func TestAppender(t *testing.T) { tester.RunSpecs(t, "appender") }
+
+// serve answers each request on a loopback socket with reply, or closes the
+// connection after reading the request if reply is nil. It counts requests.
+func serve(reply func(*http.Request) (int, string)) (string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	var requests atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, &requests, reply)
+		}
+	}()
+	return "http://" + listener.Addr().String(), &requests
+}
+
+func answer(conn net.Conn, requests *atomic.Int64, reply func(*http.Request) (int, string)) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body := make([]byte, max(req.ContentLength, 0))
+		for n := 0; n < len(body); {
+			m, err := req.Body.Read(body[n:])
+			if n += m; err != nil {
+				break
+			}
+		}
+		requests.Add(1)
+		if reply == nil {
+			return
+		}
+		status, text := reply(req)
+		fmt.Fprintf(conn, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+	}
+}
+
+func client(url string) *appender.Client {
+	return appender.NewClient(appender.Config{BaseURL: url, MaxPayload: 100, MaxAnswer: 400})
+}
+
+var _ = Describe("the client", func() {
+	It("guards against an append that is repeated by the HTTP library", func() {
+		url, requests := serve(nil)
+		_, err := client(url).Append(context.Background(), appender.Configuration, []byte("a"))
+		Expect(appender.Error.Has(err)).To(BeTrue())
+		Expect(appender.Refused.Has(err)).To(BeFalse())
+		Expect(requests.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("guards against a read that is repeated by the HTTP library", func() {
+		url, requests := serve(nil)
+		_, err := client(url).Read(context.Background(), appender.Configuration, 0, 10, 0)
+		Expect(appender.Error.Has(err)).To(BeTrue())
+		Expect(requests.Load()).To(BeEquivalentTo(1))
+	})
+
+	statuses := []struct {
+		status  int
+		refused bool
+	}{{429, true}, {400, true}, {500, false}, {503, false}, {404, false}, {202, false}}
+	for _, c := range statuses {
+		It(fmt.Sprintf("guards against a wrong class for status %d", c.status), func() {
+			url, _ := serve(func(*http.Request) (int, string) { return c.status, "{}" })
+			_, err := client(url).Append(context.Background(), appender.Membership, []byte("a"))
+			Expect(appender.Refused.Has(err)).To(Equal(c.refused))
+			Expect(appender.Error.Has(err)).To(Equal(!c.refused))
+		})
+	}
+
+	answers := []struct {
+		name, body string
+		valid      bool
+	}{
+		{"a record", `{"records":[{"offset":3,"payload":"YQ=="}],"first":1,"next":4}`, true},
+		{"a gap at the start", `{"records":[{"offset":4,"payload":"YQ=="}],"first":1,"next":5}`, false},
+		{"a record past next", `{"records":[{"offset":3,"payload":"YQ=="}],"first":1,"next":3}`, false},
+		{"a missing next", `{"records":[],"first":1}`, false},
+		{"a cut answer", `{"records":[{"offset":3,`, false},
+	}
+	for _, c := range answers {
+		It("guards against folding an answer with "+c.name, func() {
+			url, _ := serve(func(*http.Request) (int, string) { return 200, c.body })
+			batch, err := client(url).Read(context.Background(), appender.Membership, 3, 10, 0)
+			Expect(err == nil).To(Equal(c.valid))
+			if c.valid {
+				Expect(batch.Records).To(Equal([]appender.Record{{Offset: 3, Payload: []byte("a")}}))
+			}
+		})
+	}
+
+	It("guards against expired records being read as an empty stream", func() {
+		url, _ := serve(func(*http.Request) (int, string) { return 410, `{"first":7,"next":9}` })
+		_, err := client(url).Read(context.Background(), appender.Membership, 3, 10, 0)
+		var expired *appender.ExpiredError
+		Expect(errors.As(err, &expired)).To(BeTrue())
+		Expect(*expired).To(Equal(appender.ExpiredError{First: 7, Next: 9}))
+	})
+
+	It("guards against large records that stop a reader for good", func() {
+		url, _ := serve(func(r *http.Request) (int, string) {
+			if r.URL.Query().Get("limit") != "1" {
+				return 200, strings.Repeat("x", 500)
+			}
+			return 200, `{"records":[{"offset":0,"payload":"YQ=="}],"first":0,"next":9}`
+		})
+		batch, err := client(url).Read(context.Background(), appender.Membership, 0, 64, timer.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Records).To(HaveLen(1))
+	})
+
+	It("guards against an oversized payload or an ended caller reaching the log", func() {
+		url, requests := serve(func(*http.Request) (int, string) { return 200, `{"offset":0}` })
+		_, err := client(url).Append(context.Background(), appender.Membership, make([]byte, 101))
+		Expect(appender.Refused.Has(err)).To(BeTrue())
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = client(url).Append(ended, appender.Membership, []byte("a"))
+		Expect(appender.Refused.Has(err)).To(BeTrue())
+		Expect(requests.Load()).To(BeEquivalentTo(0))
+	})
+
+	It("guards against a caller that waits for a silent log after it was cancelled", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		release := make(chan struct{})
+		DeferCleanup(func() { close(release) })
+		url, _ := serve(func(*http.Request) (int, string) { cancel(); <-release; return 200, `{"offset":0}` })
+		_, err := client(url).Append(ctx, appender.Membership, []byte("a"))
+		Expect(appender.Error.Has(err)).To(BeTrue())
+		Expect(appender.Refused.Has(err)).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/transport/appender/decode.go
@@ -0,0 +1,64 @@
+package appender
+
+import (
+	"encoding/json"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+type appendAnswer struct {
+	Offset *identifier.Offset `json:"offset"`
+}
+
+type recordAnswer struct {
+	Offset  identifier.Offset `json:"offset"`
+	Payload []byte            `json:"payload"`
+}
+
+type readAnswer struct {
+	Records []recordAnswer     `json:"records"`
+	First   *identifier.Offset `json:"first"`
+	Next    *identifier.Offset `json:"next"`
+}
+
+func decodeAppend(body []byte) (identifier.Offset, error) {
+	var a appendAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return 0, Error.Wrap(err)
+	}
+	if a.Offset == nil {
+		return 0, Error.New("answer to an append has no offset")
+	}
+	return *a.Offset, nil
+}
+
+// decodeBatch decodes an answer and checks that its records follow each other
+// from the offset asked for, since the folds rely on a stream without gaps.
+func decodeBatch(body []byte, from identifier.Offset) (Batch, error) {
+	var a readAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return Batch{}, Error.Wrap(err)
+	}
+	if a.First == nil || a.Next == nil || *a.First > *a.Next {
+		return Batch{}, Error.New("answer to a read has no valid first and next")
+	}
+	batch := Batch{First: *a.First, Next: *a.Next, Records: make([]Record, 0, len(a.Records))}
+	for i, r := range a.Records {
+		if want := from + identifier.Offset(i); r.Offset != want || r.Offset >= batch.Next {
+			return Batch{}, Error.New("record at offset %d where %d was expected, next %d", r.Offset, want, batch.Next)
+		}
+		batch.Records = append(batch.Records, Record(r))
+	}
+	return batch, nil
+}
+
+func decodeExpired(body []byte) error {
+	var a readAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return Error.Wrap(err)
+	}
+	if a.First == nil || a.Next == nil || *a.First > *a.Next {
+		return Error.New("answer for expired records has no valid first and next")
+	}
+	return &ExpiredError{First: *a.First, Next: *a.Next}
+}
