Add membership table

Every daemon needs the same table of up to 34,000 instances within 64 MB. Tracker folds the membership stream without clock or I/O, keeps tombstones so that a late join cannot undo a leave, and ranks readers, relays and watchers by hash. Entries expire by a leave that readers append, counted only while the log is readable, so an outage longer than the retention removes nobody. Local ejection and suspicion are kept apart from the fold.

--- /dev/null
+++ b/internal/state/tracker/event.go
@@ -0,0 +1,43 @@
+package tracker
+
+import "github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+
+// Event is something that the daemon learned outside the stream.
+type Event interface{ event() }
+
+// Observed is the result of a check of an instance by this daemon.
+type Observed struct {
+	Instance identifier.InstanceID
+	Alive    bool
+}
+
+// Refused is a connection that an instance refused.
+type Refused struct{ Instance identifier.InstanceID }
+
+// Suspected is a watcher's suspicion that reached this daemon.
+type Suspected struct{ Suspect Suspect }
+
+// Ticked arrives about once a second.
+type Ticked struct {
+	// LogConfirmed reports whether the end of the membership stream was
+	// confirmed within the last seconds.
+	LogConfirmed bool
+}
+
+func (Observed) event()  {}
+func (Refused) event()   {}
+func (Suspected) event() {}
+func (Ticked) event()    {}
+
+// Action is something that the daemon should do.
+type Action interface{ action() }
+
+// SendSuspicion asks to hand a suspicion to every log reader of the failure
+// domain, this daemon included if it is one.
+type SendSuspicion struct{ Suspect Suspect }
+
+// AppendLeave asks to append a leave.
+type AppendLeave struct{ Leave Leave }
+
+func (SendSuspicion) action() {}
+func (AppendLeave) action()   {}
--- /dev/null
+++ b/internal/state/tracker/ring.go
@@ -0,0 +1,127 @@
+package tracker
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+const (
+	// readersPerDomain daemons of a failure domain read the log.
+	readersPerDomain = 3
+	// watchersPerMember ring neighbours check each daemon.
+	watchersPerMember = 3
+
+	// Distinct keys make the orders below independent of each other.
+	readerKey = 0x72656164
+	rankKey   = 0x72616e6b
+)
+
+// hashInstance is 64-bit FNV-1a (Fowler, Noll, Vo). All daemons of a deployment
+// must agree on it, so it must not change between releases.
+func hashInstance(instance identifier.InstanceID) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(instance); i++ {
+		h ^= uint64(instance[i])
+		h *= 1099511628211
+	}
+	return mix(h, 0)
+}
+
+// mix is the output function of SplitMix64 (Steele, Lea, Flood: Fast splittable
+// pseudorandom number generators, OOPSLA 2014).
+func mix(h, key uint64) uint64 {
+	h ^= key * 0x9e3779b97f4a7c15
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// Readers returns the log readers of a failure domain, first rank first. They
+// are chosen by rendezvous hashing (Thaler and Ravishankar, 1998) among the
+// members that are not draining.
+func (t *Tracker) Readers(domain identifier.FailureDomain) []Member {
+	id, ok := t.table.domainNames.ids[domain]
+	if !ok || int(id) >= len(t.table.domains) {
+		return nil
+	}
+	return t.table.readers(&t.table.domains[id])
+}
+
+func (t *table) readers(d *domainRows) []Member {
+	if d.valid {
+		return d.readers
+	}
+	ranked := make([]uint32, 0, len(d.ring))
+	for _, i := range d.ring {
+		if t.rows[i].state != Draining {
+			ranked = append(ranked, i)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b uint32) int {
+		return cmp.Compare(mix(t.rows[a].hash, readerKey), mix(t.rows[b].hash, readerKey))
+	})
+	ranked = ranked[:min(len(ranked), readersPerDomain)]
+	d.readers = make([]Member, 0, len(ranked))
+	for _, i := range ranked {
+		d.readers = append(d.readers, t.member(&t.rows[i]))
+	}
+	d.valid = true
+	return d.readers
+}
+
+// Relays returns the log readers of a failure domain that a daemon can follow,
+// without the daemon itself. Each daemon has an order of its own, so that the
+// followers spread over the readers.
+func (t *Tracker) Relays(domain identifier.FailureDomain, self identifier.InstanceID) []Member {
+	relays := slices.DeleteFunc(slices.Clone(t.Readers(domain)), func(m Member) bool { return m.Instance == self })
+	key := hashInstance(self)
+	slices.SortFunc(relays, func(a, b Member) int {
+		return cmp.Compare(mix(hashInstance(a.Instance), key), mix(hashInstance(b.Instance), key))
+	})
+	return relays
+}
+
+// Watched returns the ring neighbours in a member's failure domain that its
+// daemon checks. The ring is ordered by hash, so that neighbours by name, which
+// often share a rack, are not neighbours on the ring.
+func (t *Tracker) Watched(self identifier.InstanceID) []Member {
+	i, ok := t.table.index[self]
+	if !ok || t.table.rows[i].left {
+		return nil
+	}
+	ring := t.table.domains[t.table.rows[i].domain].ring
+	at, _ := slices.BinarySearchFunc(ring, i, t.table.ringOrder)
+	count := min(watchersPerMember, len(ring)-1)
+	watched := make([]Member, 0, count)
+	for n := 1; n <= count; n++ {
+		watched = append(watched, t.table.member(&t.table.rows[ring[(at+n)%len(ring)]]))
+	}
+	return watched
+}
+
+func (t *Tracker) watches(instance identifier.InstanceID) bool {
+	return slices.ContainsFunc(t.Watched(t.config.Self), func(m Member) bool { return m.Instance == instance })
+}
+
+// ReaderRank returns the rank of a daemon among the log readers of all failure
+// domains, from 0 on, or false if it is not a reader.
+func (t *Tracker) ReaderRank(self identifier.InstanceID) (int, bool) {
+	if t.ranks == nil || t.rankVersion != t.table.version {
+		t.ranks = t.ranks[:0]
+		for i := range t.table.domains {
+			for _, m := range t.table.readers(&t.table.domains[i]) {
+				t.ranks = append(t.ranks, m.Instance)
+			}
+		}
+		slices.SortFunc(t.ranks, func(a, b identifier.InstanceID) int {
+			return cmp.Compare(mix(hashInstance(a), rankKey), mix(hashInstance(b), rankKey))
+		})
+		t.rankVersion = t.table.version
+	}
+	rank := slices.Index(t.ranks, self)
+	return rank, rank >= 0
+}
