Add instance selection

A policy picks the instance for an attempt. PowerOfChoices draws 3 of the fresh probe results and ranks them by the hot/cold rule; the estimate of requests in flight adds own attempts sent since the report. When the best result is used up, or fewer than half of the targets have a fresh result, it takes the better of two random instances by own outstanding attempts, weighted with latency.

A cold instance below its limit gets one of 16 first attempts and one at a time, since avoiding it altogether would leave it cold. Probes depend on time alone and stop 10 s after the last pick. Filter keeps ejected instances away, tries each after 500 ms and then with doubled delays, and starts at most one trial in 100 ms, because the loss of a failure domain would otherwise cost hundreds of requests a stall at once.

--- /dev/null
+++ b/internal/state/selector/prober.go
@@ -0,0 +1,116 @@
+package selector
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// maxTargets is the number of instances of a big service that one daemon
+	// probes.
+	maxTargets = 32
+	// localTargets is the part of the targets reserved for the own failure
+	// domain; an even draw over 29 failure domains gives it about one.
+	localTargets = maxTargets / 2
+	// idleAfter is the time without a pick after which a service is no longer
+	// probed. With 2,300 services the budget covers only those in use.
+	idleAfter = 10 * timer.Second
+	// maxProbes bounds the probes of one call, so that a late timer makes no
+	// burst.
+	maxProbes = 4
+)
+
+// Prober says which instances to probe next. Its rate depends on time alone.
+type Prober struct {
+	interval timer.Millis
+	targets  []*record
+	position int
+	due      timer.Millis
+	lastPick timer.Millis
+	picked   bool
+	probes   []identifier.InstanceID
+}
+
+// SetProbeInterval changes the time between two probes of the service.
+func (p *Prober) SetProbeInterval(interval timer.Millis) { p.interval = max(interval, 1) }
+
+// ProbeTargets returns the instances to probe now, in turn. Call it from a
+// timer; calls between the due times return none, and a late call makes up for
+// maxProbes at most. Each probe still needs the load-measuring budget. The result is
+// valid until the next call.
+func (p *Prober) ProbeTargets(now timer.Millis) []identifier.InstanceID {
+	p.probes = p.probes[:0]
+	if len(p.targets) == 0 || !p.picked || now-p.lastPick > idleAfter {
+		return p.probes
+	}
+	// A due time far ahead means that time has jumped back.
+	if p.due > now+p.interval || p.due < now-maxProbes*p.interval {
+		p.due = now
+	}
+	for p.due <= now && len(p.probes) < min(maxProbes, len(p.targets)) {
+		p.position = (p.position + 1) % len(p.targets)
+		p.probes = append(p.probes, p.targets[p.position].ID)
+		p.due += p.interval
+	}
+	return p.probes
+}
+
+func (p *Prober) used(now timer.Millis) { p.lastPick, p.picked = now, true }
+
+// chooseTargets returns all instances of a small service, else a subset by
+// rendezvous hash with self, which changes little when instances come and go.
+// The order is random, so that daemons do not probe in step.
+func chooseTargets(list []*record, self identifier.InstanceID, rng *rand.Rand) []*record {
+	targets := slices.Clone(list)
+	if len(list) > maxTargets {
+		targets = chooseSubset(rank(list, self))
+	}
+	rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets
+}
+
+// chooseSubset takes the first localTargets of the own failure domain and fills
+// up with the first of the rest.
+func chooseSubset(ranked []*record) []*record {
+	targets := make([]*record, 0, maxTargets)
+	rest := make([]*record, 0, len(ranked))
+	for _, r := range ranked {
+		if r.local && len(targets) < localTargets {
+			targets = append(targets, r)
+		} else {
+			rest = append(rest, r)
+		}
+	}
+	return append(targets, rest[:maxTargets-len(targets)]...)
+}
+
+// rank returns the instances in descending order of their hash with self.
+func rank(list []*record, self identifier.InstanceID) []*record {
+	hashes := make(map[*record]uint64, len(list))
+	for _, r := range list {
+		hashes[r] = hash(self, r.ID)
+	}
+	return slices.SortedFunc(slices.Values(list), func(a, b *record) int {
+		return cmp.Or(cmp.Compare(hashes[b], hashes[a]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// hash is FNV-1a over both ids followed by the finalizer of SplitMix64, which
+// spreads ids that differ only in their last characters.
+func hash(a, b identifier.InstanceID) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for _, id := range [...]identifier.InstanceID{a, b} {
+		for i := range len(id) {
+			h = (h ^ uint64(id[i])) * prime
+		}
+		h *= prime // Separates the ids.
+	}
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/internal/state/selector/roster.go
@@ -0,0 +1,165 @@
+package selector
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// latencyShift gives each own latency a weight of one eighth in the mean.
+	latencyShift = 3
+	// latencyExpiry is the age at which a mean latency is no longer used.
+	latencyExpiry = 5 * timer.Second
+	// randomDraws is the number of random draws before a scan of all
+	// instances. A scan is likely only when most instances are not accepted.
+	randomDraws = 4
+)
+
+// record is what the daemon knows of one instance.
+type record struct {
+	Instance
+	// own counts the daemon's outstanding attempts.
+	own int32
+	// latency is the moving mean of own complete attempts, latencyAt the time of
+	// the last one.
+	latency   time.Duration
+	latencyAt timer.Millis
+
+	load     Load
+	reported bool
+	// ownAtReport is the part of the reported load that the daemon caused.
+	ownAtReport int32
+	// uses counts picks since the report.
+	uses int
+	// local says that the instance is in the own failure domain.
+	local bool
+	// estimate is inFlight for the duration of one pick.
+	estimate int32
+}
+
+// inFlight estimates the requests at the instance now: the reported number,
+// corrected by own attempts sent and ended since. Own attempts are a lower
+// bound.
+func (r *record) inFlight() int32 {
+	if !r.reported {
+		return r.own
+	}
+	return max(r.own, r.load.InFlight+r.load.Queued+r.own-r.ownAtReport)
+}
+
+// meanLatency returns the reported mean, else the own one. Zero means that
+// neither is known; an instance must not be avoided for good for a latency that
+// only new attempts can correct.
+func (r *record) meanLatency(now timer.Millis) time.Duration {
+	if r.reported && r.load.MeanLatency > 0 && r.age(now) < latencyExpiry {
+		return r.load.MeanLatency
+	}
+	if now-r.latencyAt < latencyExpiry {
+		return r.latency
+	}
+	return 0
+}
+
+// age returns the time since the report. It is negative if time jumped back.
+func (r *record) age(now timer.Millis) timer.Millis { return now - r.load.ReceivedAt }
+
+func (r *record) report(now timer.Millis, load Load) {
+	load.ReceivedAt = min(load.ReceivedAt, now)
+	if r.reported && load.ReceivedAt < r.load.ReceivedAt && r.load.ReceivedAt <= now {
+		return
+	}
+	r.load, r.reported = load, true
+	r.ownAtReport, r.uses = r.own, 0
+}
+
+func (r *record) ended(now timer.Millis, event AttemptEnded) {
+	r.own = max(0, r.own-1)
+	if event.Result != Complete || event.Latency <= 0 {
+		return
+	}
+	if r.latency == 0 || now-r.latencyAt >= latencyExpiry {
+		r.latency = event.Latency
+	}
+	r.latency += (event.Latency - r.latency) >> latencyShift
+	r.latencyAt = now
+}
+
+// roster holds the instances of the service in the order they were given. The
+// policies embed it.
+type roster struct {
+	list []*record
+	byID map[identifier.InstanceID]*record
+}
+
+// Step takes in what has happened.
+func (r *roster) Step(now timer.Millis, event Event) {
+	switch e := event.(type) {
+	case InstancesChanged:
+		r.replace(e.Instances)
+	case LoadReported:
+		if found := r.byID[e.Instance]; found != nil {
+			found.report(now, e.Load)
+		}
+	case AttemptSent:
+		if found := r.byID[e.Instance]; found != nil {
+			found.own++
+		}
+	case AttemptEnded:
+		if found := r.byID[e.Instance]; found != nil {
+			found.ended(now, e)
+		}
+	}
+}
+
+func (r *roster) replace(instances []Instance) {
+	byID := make(map[identifier.InstanceID]*record, len(instances))
+	r.list = make([]*record, 0, len(instances))
+	for _, instance := range instances {
+		if byID[instance.ID] != nil {
+			continue
+		}
+		kept := r.byID[instance.ID]
+		if kept == nil {
+			kept = &record{}
+		}
+		kept.Instance = instance
+		byID[instance.ID] = kept
+		r.list = append(r.list, kept)
+	}
+	r.byID = byID
+}
+
+// draw returns a random accepted instance, or nil if there is none.
+func (r *roster) draw(rng *rand.Rand, accept func(*record) bool) *record {
+	if len(r.list) == 0 {
+		return nil
+	}
+	for range randomDraws {
+		if drawn := r.list[rng.IntN(len(r.list))]; accept(drawn) {
+			return drawn
+		}
+	}
+	return r.next(rng.IntN(len(r.list)), accept)
+}
+
+// next returns the first accepted instance from a position on, or nil if there
+// is none.
+func (r *roster) next(position int, accept func(*record) bool) *record {
+	for i := range r.list {
+		if candidate := r.list[(position+i)%len(r.list)]; accept(candidate) {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// answer converts a choice to the results of Pick.
+func answer(chosen *record) (identifier.InstanceID, bool) {
+	if chosen == nil {
+		return "", false
+	}
+	return chosen.ID, true
+}
--- /dev/null
+++ b/internal/state/selector/selector_test.go
@@ -0,0 +1,209 @@
+package selector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func TestSelector(t *testing.T) { tester.RunSpecs(t, "selector") }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(20261204, 1)) }
+
+// members returns instances i0, i1, ... in n/perDomain failure domains d0, d1, ...
+func members(n, perDomain int) (list []selector.Instance) {
+	for i := range n {
+		list = append(list, selector.Instance{
+			ID:     identifier.InstanceID(fmt.Sprintf("i%d", i)),
+			Domain: identifier.FailureDomain(fmt.Sprintf("d%d", i/perDomain)),
+			Slots:  20,
+		})
+	}
+	return list
+}
+
+// newLoaded returns a policy whose instances have reported the given loads at 0.
+func newLoaded(config selector.Config, loads ...selector.Load) *selector.PowerOfChoices {
+	p := selector.NewPowerOfChoices(config, newRand())
+	list := members(len(loads), 1)
+	p.Step(0, selector.InstancesChanged{Instances: list})
+	for i, load := range loads {
+		p.Step(0, selector.LoadReported{Instance: list[i].ID, Load: load})
+	}
+	return p
+}
+
+// count picks n times without sending and counts the picks of each instance.
+func count(p selector.Policy, now timer.Millis, n int, tried ...identifier.InstanceID) map[identifier.InstanceID]int {
+	counts := map[identifier.InstanceID]int{}
+	for range n {
+		if picked, found := p.Pick(now, selector.Exclusions{Tried: tried}); found {
+			counts[picked]++
+		}
+	}
+	return counts
+}
+
+func load(inFlight int32, latency time.Duration) selector.Load {
+	return selector.Load{InFlight: inFlight, Limit: 20, MeanLatency: latency}
+}
+
+const slow, fast = 40 * time.Millisecond, 10 * time.Millisecond
+
+var (
+	cold    = selector.Load{Limit: 2, Cold: true, MeanLatency: fast}
+	full    = selector.Load{InFlight: 20, Limit: 20, MeanLatency: fast}
+	lasting = selector.Config{Choices: 4, Reuses: 1 << 30, WarmUpEvery: -1, Domain: "d0"}
+)
+
+var _ = Describe("power of choices", func() {
+	cases := []struct {
+		guards string
+		loads  []selector.Load
+		want   identifier.InstanceID
+	}{
+		{"a hot instance preferred for its latency", []selector.Load{load(3, slow), load(9, fast), load(3, slow)}, "i0"},
+		{"a slow instance preferred for its few requests", []selector.Load{load(2, fast), load(0, slow), load(3, slow)}, "i0"},
+		{"a local instance passed over while it is not hot", []selector.Load{load(2, fast+1), load(2, fast)}, "i0"},
+		{"a local instance preferred while it is hot", []selector.Load{load(9, fast), load(2, fast)}, "i1"},
+		{"a local instance preferred while it is slow", []selector.Load{load(2, slow), load(2, fast)}, "i1"},
+		{"a cold instance picked while another exists", []selector.Load{cold, load(19, slow)}, "i1"},
+		{"a full instance picked while another exists", []selector.Load{full, load(19, slow)}, "i1"},
+		{"a cold instance preferred to one at its limit", []selector.Load{cold, full}, "i1"},
+	}
+	for _, c := range cases {
+		It("guards against "+c.guards, func() {
+			Expect(count(newLoaded(lasting, c.loads...), 0, 50)).To(Equal(map[identifier.InstanceID]int{c.want: 50}))
+		})
+	}
+	It("guards against own attempts that the latest report cannot show", func() {
+		p := newLoaded(lasting, load(5, fast), load(5, fast))
+		for range 3 {
+			p.Step(0, selector.AttemptSent{Instance: "i0"})
+		}
+		Expect(count(p, 0, 20)).To(Equal(map[identifier.InstanceID]int{"i1": 20}))
+		for range 3 {
+			p.Step(0, selector.AttemptEnded{Instance: "i0", Result: selector.NotRun})
+		}
+		Expect(count(p, 0, 20)).To(Equal(map[identifier.InstanceID]int{"i0": 20}))
+	})
+	It("guards against an old report that replaces a newer one", func() {
+		p := newLoaded(lasting, load(2, fast), load(5, fast))
+		p.Step(500, selector.LoadReported{Instance: "i0", Load: selector.Load{InFlight: 9, Limit: 20, ReceivedAt: 500}})
+		p.Step(500, selector.LoadReported{Instance: "i0", Load: selector.Load{InFlight: 1, Limit: 20, ReceivedAt: 400}})
+		Expect(count(p, 500, 20)).To(Equal(map[identifier.InstanceID]int{"i1": 20}))
+	})
+	It("guards against results that are used after expiry or too often", func() {
+		config := lasting
+		config.Domain = ""
+		expired := newLoaded(config, load(5, fast), load(2, fast))
+		config.Reuses = 4
+		p := newLoaded(config, load(5, fast), load(2, fast))
+		Expect(count(p, 999, 4)).To(Equal(map[identifier.InstanceID]int{"i1": 4}))
+		Expect(count(p, 999, 100)).To(HaveLen(2))
+		Expect(count(expired, 999, 100)).To(HaveLen(1))
+		Expect(count(expired, 1000, 100)).To(HaveLen(2))
+	})
+	It("guards against a fallback that ignores own attempts", func() {
+		p := newLoaded(lasting, load(0, fast), load(0, fast), load(0, fast), load(0, fast))
+		p.Step(5000, selector.AttemptSent{Instance: "i2"})
+		Expect(count(p, 5000, 400)["i2"]).To(BeNumerically("<", 50))
+	})
+	It("guards against a cold instance that never warms up, or gets more than one attempt", func() {
+		config := lasting
+		config.WarmUpEvery = 16
+		p := newLoaded(config, load(5, fast), cold)
+		Expect(count(p, 0, 160)["i1"]).To(Equal(10))
+		p.Step(0, selector.AttemptSent{Instance: "i1"})
+		Expect(count(p, 0, 160)["i1"]).To(BeZero())
+	})
+})
+
+var _ = Describe("probing", func() {
+	probes := func(n int, pick bool) map[identifier.InstanceID]int {
+		p := selector.NewPowerOfChoices(selector.Config{Domain: "d3"}, newRand())
+		p.Step(0, selector.InstancesChanged{Instances: members(n, 20)})
+		count(p, 0, 1)
+		counts := map[identifier.InstanceID]int{}
+		for now := timer.Millis(0); now < 8*timer.Second; now += 7 {
+			for range 100 {
+				if pick {
+					p.Pick(now, selector.Exclusions{})
+				}
+			}
+			for _, target := range p.ProbeTargets(now) {
+				counts[target]++
+			}
+		}
+		return counts
+	}
+	It("guards against probes that grow with requests or instances", func() {
+		busy := probes(1200, true)
+		Expect(probes(1200, false)).To(HaveLen(32))
+		Expect(busy).To(HaveLen(32))
+		total, local := 0, 0
+		for target, n := range busy {
+			Expect(n).To(BeNumerically("~", 5, 1))
+			total += n
+			if slices.ContainsFunc(members(1200, 20)[60:80], func(i selector.Instance) bool { return i.ID == target }) {
+				local++
+			}
+		}
+		Expect(total).To(Equal(160))
+		Expect(local).To(BeNumerically("~", 16, 1))
+	})
+	It("guards against instances of a small service that are never probed", func() {
+		Expect(probes(4, true)).To(HaveLen(4))
+	})
+	It("guards against probing an idle service, and a burst after a pause", func() {
+		p := newLoaded(selector.Config{}, cold, cold, cold, cold, cold, cold)
+		Expect(p.ProbeTargets(0)).To(BeEmpty())
+		count(p, 0, 1)
+		Expect(p.ProbeTargets(10 * timer.Second)).To(HaveLen(1))
+		Expect(p.ProbeTargets(11 * timer.Second)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("filter", func() {
+	It("guards against an ejected instance that is never tried again or too often", func() {
+		f := selector.NewFilter(selector.NewRandom(newRand()))
+		f.Step(0, selector.InstancesChanged{Instances: members(4, 1)})
+		f.Step(0, selector.InstanceEjected{Instance: "i2"})
+		var trials []timer.Millis
+		for now := timer.Millis(0); now < 120*timer.Second; now += 100 {
+			Expect(count(f, now, 3, "i0")["i2"]).To(BeZero())
+			for range count(f, now, 5)["i2"] {
+				trials = append(trials, now/100)
+			}
+		}
+		Expect(trials).To(Equal([]timer.Millis{5, 15, 35, 75, 155, 315, 615, 915}))
+		f.Step(0, selector.AttemptEnded{Instance: "i2", Result: selector.Complete})
+		Expect(count(f, 120*timer.Second, 100)["i2"]).To(BeNumerically(">", 10))
+	})
+	It("guards against a lost failure domain that costs every request a trial", func() {
+		f := selector.NewFilter(selector.NewRandom(newRand()))
+		f.Step(0, selector.InstancesChanged{Instances: members(40, 20)})
+		for _, instance := range members(20, 20) {
+			f.Step(0, selector.InstanceEjected{Instance: instance.ID})
+		}
+		trials := 0
+		for now := timer.Millis(500); now < timer.Second; now++ {
+			for id, n := range count(f, now, 3) {
+				if slices.ContainsFunc(members(20, 20), func(m selector.Instance) bool { return m.ID == id }) {
+					trials += n
+				}
+			}
+		}
+		Expect(trials).To(Equal(5))
+	})
+})
