Move the strict JSON decoder into a package of its own

The settings need the same decoding as the sheet: every unknown field and wrong type at once, each with its place. Types written as text now implement decoder.Text instead of a special case for times.

--- a/pkg/parser/decoder.go
+++ b/pkg/decoder/decoder.go
@@ -1,4 +1,18 @@
-package parser
+// Package decoder decodes JSON strictly into domain types and lists everything
+// that is wrong with it at once.
+//
+// encoding/json stops at the first problem, accepts fields in another case,
+// repeated ones and null. This package goes on after a problem and adds a
+// finding with the place for each unknown or repeated field and wrong type.
+//
+// # Usage
+//
+//	var findings reporter.Findings
+//	decoder.Decode(data, &settings, &findings, decoder.Options{Root: "settings"}, settings.check)
+//	if err := findings.Err(); err != nil {
+//		return err
+//	}
+package decoder
 
 import (
 	"bytes"
@@ -8,16 +22,32 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 	"unicode/utf8"
 
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 )
 
-// decoder fills Go values from JSON and goes on after a problem, so that one
-// pass lists every unknown field and wrong type. encoding/json itself stops at
-// the first, and accepts fields in another case, repeated ones and null.
+// Text is implemented by pointers to types that are written as text.
+type Text interface {
+	// DecodeText sets the value and reports whether the text is valid.
+	DecodeText(text string) bool
+	// Kind completes the finding "is not ...".
+	Kind() string
+}
+
+// Options name the input in findings.
+type Options struct {
+	// Place is put before every place; it may be empty.
+	Place string
+	// Root is the place of the outermost value if Place is empty.
+	Root string
+}
+
+// decoder fills Go values from JSON and goes on after a problem.
 type decoder struct {
 	scanner
+	options  Options
 	findings *reporter.Findings
 	path     []step
 }
@@ -39,49 +69,35 @@
 // gives no type of its own.
 const endOfInput = "unexpected end of JSON input"
 
-// layouts maps the types that can occur to their fields by JSON name.
-var layouts = make(map[reflect.Type]map[string]field)
+// layouts maps struct types to their fields by JSON name.
+var layouts sync.Map
 
-func init() {
-	addLayout(reflect.TypeFor[Sheet]())
-	addLayout(reflect.TypeFor[wireEdit]())
-}
-
-func addLayout(t reflect.Type) {
-	switch t.Kind() {
-	case reflect.Pointer, reflect.Slice:
-		addLayout(t.Elem())
-		return
-	case reflect.Struct:
-	default:
-		return
-	}
-	if layouts[t] != nil {
-		return
+func layoutOf(t reflect.Type) map[string]field {
+	if known, found := layouts.Load(t); found {
+		return known.(map[string]field)
 	}
 	fields := make(map[string]field)
-	layouts[t] = fields
 	for _, member := range reflect.VisibleFields(t) {
 		name, _, _ := strings.Cut(member.Tag.Get("json"), ",")
 		if name == "" {
 			continue
 		}
 		fields[name] = field{name: name, index: member.Index, number: len(fields)}
-		addLayout(member.Type)
 	}
+	layouts.Store(t, fields)
+	return fields
 }
 
-// decodeStrict fills target and then lets check add what is wrong with it. A
-// finding of check is left out where the decoder has found something already,
-// since the value there was never set. The name is the place of the outermost
-// value.
-func decodeStrict(data []byte, name string, target any, findings *reporter.Findings, check func(*reporter.Findings)) {
+// Decode fills the target, a pointer, and then lets check add what is wrong with
+// it. A finding of check is left out where the decoder has found something
+// already, since the value there was never set.
+func Decode(data []byte, target any, findings *reporter.Findings, options Options, check func(*reporter.Findings)) {
 	if !checkSyntax(data, findings) {
 		return
 	}
-	d := &decoder{scanner: scanner{data: data}, findings: findings}
-	if name != "" {
-		d.path = append(d.path, step{name: name})
+	d := &decoder{scanner: scanner{data: data}, findings: findings, options: options}
+	if options.Place != "" {
+		d.path = append(d.path, step{name: options.Place})
 	}
 	outermost := d.place()
 	d.value(reflect.ValueOf(target).Elem())
@@ -154,7 +170,7 @@
 		}
 	}
 	if text.Len() == 0 {
-		return "sheet"
+		return d.options.Root
 	}
 	return text.String()
 }
@@ -167,6 +183,10 @@
 		target.Set(reflect.New(target.Type().Elem()))
 		target = target.Elem()
 	}
+	if value, isText := target.Addr().Interface().(Text); isText {
+		d.textValue(value)
+		return
+	}
 	switch target.Kind() {
 	case reflect.Struct:
 		d.object(target)
@@ -183,10 +203,6 @@
 		}
 		target.SetBool(string(d.skip()) == "true")
 	default:
-		if target.Type() == reflect.TypeFor[Time]() {
-			d.time(target)
-			return
-		}
 		d.number(target)
 	}
 }
@@ -195,7 +211,7 @@
 	if !d.expect('{', "an object") {
 		return
 	}
-	fields := layouts[target.Type()]
+	fields := layoutOf(target.Type())
 	var seen uint64
 	for range d.items('}') {
 		quoted := d.skip()
@@ -222,14 +238,14 @@
 
 func (d *decoder) refuseField(name string, known bool) {
 	label, reason := name, "is an unknown field"
-	if name == "" || strings.ContainsFunc(name, func(r rune) bool { return !isNameRune(r) }) {
+	if name == "" || strings.ContainsFunc(name, func(r rune) bool { return !IsNameRune(r) }) {
 		label = strconv.Quote(name)
 	}
 	if known {
 		reason = "is given twice"
 	}
-	d.push(step{name: clip(label)})
-	d.findings.Add(d.place(), clip(name), reason)
+	d.push(step{name: Clip(label)})
+	d.findings.Add(d.place(), Clip(name), reason)
 	d.pop()
 	d.skip()
 }
@@ -247,16 +263,14 @@
 	}
 }
 
-func (d *decoder) time(target reflect.Value) {
-	if !d.expect('"', "a time in RFC 3339") {
+func (d *decoder) textValue(value Text) {
+	if !d.expect('"', value.Kind()) {
 		return
 	}
 	text := d.text()
-	parsed, err := ParseTime(text)
-	if err != nil || parsed == 0 {
-		d.findings.Add(d.place(), clip(text), "is not a time in RFC 3339")
+	if !value.DecodeText(text) {
+		d.findings.Add(d.place(), Clip(text), "is not "+value.Kind())
 	}
-	target.SetInt(int64(parsed))
 }
 
 func (d *decoder) number(target reflect.Value) {
@@ -268,9 +282,9 @@
 	parsed, err := strconv.ParseInt(text, 10, target.Type().Bits())
 	switch {
 	case errors.Is(err, strconv.ErrRange):
-		d.findings.Add(d.place(), clip(text), "is out of range")
+		d.findings.Add(d.place(), Clip(text), "is out of range")
 	case err != nil:
-		d.findings.Add(d.place(), clip(text), "is not a whole number")
+		d.findings.Add(d.place(), Clip(text), "is not a whole number")
 	}
 	target.SetInt(parsed)
 }
@@ -293,9 +307,9 @@
 		value = "a list"
 		d.skip()
 	case '"':
-		value = clip(d.text())
+		value = Clip(d.text())
 	default:
-		value = clip(string(d.skip()))
+		value = Clip(string(d.skip()))
 	}
 	d.findings.Add(d.place(), value, "is not "+want)
 }
--- a/pkg/parser/scanner.go
+++ b/pkg/decoder/scanner.go
@@ -1,4 +1,4 @@
-package parser
+package decoder
 
 import (
 	"bytes"
--- /dev/null
+++ b/pkg/decoder/text.go
@@ -0,0 +1,18 @@
+package decoder
+
+import "strings"
+
+// IsNameRune reports whether a character may stand in a name: letters, digits,
+// dot, underscore and hyphen, which are safe in headers, places and log lines.
+func IsNameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '.' || r == '_' || r == '-'
+}
+
+// Clip shortens a value that is shown in a finding.
+func Clip(value string) string {
+	const shown = 80
+	if len(value) <= shown {
+		return value
+	}
+	return strings.ToValidUTF8(value[:shown], "") + "..."
+}
--- a/pkg/parser/edits.go
+++ b/pkg/parser/edits.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/decoder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 )
 
@@ -116,7 +117,7 @@
 func (w wireEdit) check(place string, findings *reporter.Findings) (Edit, bool) {
 	edit, field := w.edit()
 	if edit == nil {
-		findings.Add(at(place, "kind"), clip(w.Kind), "is not a known kind of edit")
+		findings.Add(at(place, "kind"), decoder.Clip(w.Kind), "is not a known kind of edit")
 		return nil, false
 	}
 	present := false
@@ -141,7 +142,7 @@
 	var findings reporter.Findings
 	var wires []wireEdit
 	var edits Edits
-	decodeStrict(data, "edits", &wires, &findings, func(further *reporter.Findings) {
+	decoder.Decode(data, &wires, &findings, decoder.Options{Place: "edits"}, func(further *reporter.Findings) {
 		first := make(map[target]int, len(wires))
 		for i, wire := range wires {
 			edit, ok := wire.check(fmt.Sprintf("edits[%d]", i), further)
--- a/pkg/parser/field.go
+++ b/pkg/parser/field.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/magnoliaknot/magnoliaknot/pkg/decoder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 )
 
@@ -43,30 +44,26 @@
 	case name == "":
 		findings.Add(place, name, "is empty")
 	case len(name) > maxNameLength:
-		findings.Add(place, clip(name), fmt.Sprintf("is longer than %d bytes", maxNameLength))
-	case strings.ContainsFunc(name, func(r rune) bool { return !isNameRune(r) }):
+		findings.Add(place, decoder.Clip(name), fmt.Sprintf("is longer than %d bytes", maxNameLength))
+	case strings.ContainsFunc(name, func(r rune) bool { return !decoder.IsNameRune(r) }):
 		findings.Add(place, name, "has characters other than letters, digits, dot, underscore and hyphen")
 	}
 }
 
-func isNameRune(r rune) bool {
-	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '.' || r == '_' || r == '-'
-}
-
 func checkHost(place, host string, findings *reporter.Findings) {
 	valid := host != "" && len(host) <= maxHostLength && host == strings.ToLower(host) && !strings.HasSuffix(host, ".") &&
-		!strings.ContainsFunc(host, func(r rune) bool { return !isNameRune(r) })
+		!strings.ContainsFunc(host, func(r rune) bool { return !decoder.IsNameRune(r) })
 	if !valid {
-		findings.Add(place, clip(host), "is not a host name in lower case without port")
+		findings.Add(place, decoder.Clip(host), "is not a host name in lower case without port")
 	}
 }
 
 func checkPathPrefix(place, prefix string, findings *reporter.Findings) {
 	switch {
 	case !strings.HasPrefix(prefix, "/"):
-		findings.Add(place, clip(prefix), "does not start with a slash")
+		findings.Add(place, decoder.Clip(prefix), "does not start with a slash")
 	case len(prefix) > MaxPathPrefixLength:
-		findings.Add(place, clip(prefix), fmt.Sprintf("is longer than %d bytes", MaxPathPrefixLength))
+		findings.Add(place, decoder.Clip(prefix), fmt.Sprintf("is longer than %d bytes", MaxPathPrefixLength))
 	case strings.ContainsFunc(prefix, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '?' || r == '#' }):
 		findings.Add(place, prefix, "has a space, control character, query or fragment")
 	case !isNormalised(prefix):
@@ -84,12 +81,3 @@
 	}
 	return true
 }
-
-// clip shortens a value that is shown in a finding.
-func clip(value string) string {
-	const shown = 80
-	if len(value) <= shown {
-		return value
-	}
-	return strings.ToValidUTF8(value[:shown], "") + "..."
-}
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -22,6 +22,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/magnoliaknot/magnoliaknot/pkg/decoder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 )
 
@@ -58,7 +59,7 @@
 	var findings reporter.Findings
 	sheet := new(Sheet)
 	// Places name the order of the input, so the check precedes sorting.
-	decodeStrict(data, "", sheet, &findings, sheet.Check)
+	decoder.Decode(data, sheet, &findings, decoder.Options{Root: "sheet"}, sheet.Check)
 	if err := invalid(&findings); err != nil {
 		return nil, err
 	}
--- a/pkg/parser/time.go
+++ b/pkg/parser/time.go
@@ -48,3 +48,13 @@
 	*t = parsed
 	return err
 }
+
+// DecodeText reads RFC 3339 text for the decoder.
+func (t *Time) DecodeText(text string) bool {
+	parsed, err := ParseTime(text)
+	*t = parsed
+	return err == nil && parsed != 0
+}
+
+// Kind names the format for findings.
+func (t *Time) Kind() string { return "a time in RFC 3339" }
