--- /dev/null
+++ b/internal/coordination/holder/configuration.go
@@ -0,0 +1,144 @@
+// Package holder keeps the folded state of a daemon behind locks, so that the
+// followers can change it while requests read it.
+//
+// # Usage
+//
+//	configuration := holder.NewConfiguration(logger)
+//	f := follower.New(follower.Config{Stream: appender.Configuration, ...}, configuration)
+//	...
+//	view := configuration.View()
+//	service, found := view.Schedule.Route(header, host, path)
+package holder
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
+)
+
+// View is the configuration in force. It is immutable.
+type View struct {
+	Version  identifier.Version
+	Offset   identifier.Offset
+	Sheet    *parser.Sheet
+	Schedule *scheduler.Schedule
+}
+
+// Configuration holds the fold of the configuration stream. It is safe for
+// concurrent use.
+type Configuration struct {
+	logger *slog.Logger
+	view   atomic.Pointer[View]
+
+	mu      sync.Mutex
+	reducer *reducer.Reducer
+	changed chan struct{}
+	// diverged counts checkpoints whose hash does not match the own state.
+	diverged int
+}
+
+// NewConfiguration returns a holder without configuration.
+func NewConfiguration(logger *slog.Logger) *Configuration {
+	c := &Configuration{logger: logger, reducer: reducer.New(reducer.Config{}), changed: make(chan struct{})}
+	c.view.Store(&View{Schedule: scheduler.New(nil, nil)})
+	return c
+}
+
+// View returns the configuration in force; its version is 0 before the first.
+func (c *Configuration) View() *View { return c.view.Load() }
+
+// Apply folds one record of the configuration stream.
+func (c *Configuration) Apply(offset identifier.Offset, payload []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result, err := c.reducer.Apply(offset, payload)
+	if err != nil {
+		return err
+	}
+	c.report(offset, result)
+	c.publish()
+	return nil
+}
+
+// Restore replaces the state by a checkpoint that is further on.
+func (c *Configuration) Restore(payload []byte) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	restored, err := c.reducer.Restore(payload)
+	if restored {
+		c.publish()
+	}
+	return restored, err
+}
+
+// Folded returns the offset of the last folded record.
+func (c *Configuration) Folded() (identifier.Offset, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.reducer.State()
+	return state.FoldedOffset, state.Folded
+}
+
+// Checkpoint encodes the folded state.
+func (c *Configuration) Checkpoint() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reducer.Checkpoint()
+}
+
+// Audit returns the newest entries of the audit trail and the oldest offset
+// that the trail covers.
+func (c *Configuration) Audit(limit int) ([]reducer.AuditEntry, identifier.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reducer.Audit(limit), c.reducer.OldestAudited()
+}
+
+// Diverged returns the number of checkpoints that contradict the own state.
+func (c *Configuration) Diverged() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.diverged
+}
+
+// Changed returns a channel that is closed at the next folded record.
+func (c *Configuration) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *Configuration) publish() {
+	state := c.reducer.State()
+	view := c.view.Load()
+	if state.Version != view.Version {
+		c.view.Store(&View{
+			Version: state.Version, Offset: state.FoldedOffset, Sheet: state.Sheet,
+			Schedule: scheduler.New(state.Sheet, state.ReturnedAt),
+		})
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Configuration) report(offset identifier.Offset, result reducer.Result) {
+	switch r := result.(type) {
+	case reducer.Accepted:
+		c.logger.Info("configuration in force", "change_id", r.ID, "version", r.Version, "offset", offset)
+	case reducer.Rejected:
+		c.logger.Warn("configuration change rejected", "change_id", r.ID, "reason", r.Reason, "offset", offset)
+	case reducer.Undecodable:
+		c.logger.Warn("configuration record skipped", "offset", offset, "detail", r.Detail)
+	case reducer.CheckpointSeen:
+		if r.Compared && !r.Matches {
+			c.diverged++
+			c.logger.Error("checkpoint contradicts the folded configuration", "folded_offset", r.FoldedOffset, "offset", offset)
+		}
+	case reducer.Duplicate, reducer.AlreadyFolded:
+	}
+}
--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -36,4 +36,5 @@
 	ReasonDraining       Reason = "draining"
 	ReasonTooManyRequest Reason = "too_many_requests"
 	ReasonQuarantined    Reason = "quarantined"
+	ReasonShed           Reason = "shed"
 )
--- /dev/null
+++ b/internal/transport/receiver/admission.go
@@ -0,0 +1,340 @@
+package receiver
+
+import (
+	"log/slog"
+	"sync"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Limits of the connections to the backend server.
+const (
+	backendConnectTimeout = timer.Second
+	// backendMaxIdle is shorter than the idle timeout of common HTTP servers.
+	backendMaxIdle = 1500 * timer.Millis(1)
+)
+
+// AdmissionConfig holds what admission needs.
+type AdmissionConfig struct {
+	Clock          timer.Clock
+	FailureDomain  identifier.FailureDomain
+	View           func() *holder.View
+	Measuring      *Measuring
+	MaxAnswerBytes int
+	// Alone tells whether this daemon is the only member.
+	Alone func() bool
+	// Spread sends quarantine entries to the other daemons of the service.
+	Spread func(service identifier.ServiceName, entries []quarantiner.Entry)
+	// Announced is called when the backend server's announcement has changed.
+	Announced func(Announcement)
+	Logger    *slog.Logger
+}
+
+// decision is admission's answer to one attempt.
+type decision struct {
+	start bool
+	// solo tells that nothing else runs beside the attempt.
+	solo      bool
+	remaining timer.Millis
+	refusal   encoder.Refusal
+}
+
+// Admission decides about attempts for the backend server beside the daemon
+// and forwards those that start. It is safe for concurrent use.
+type Admission struct {
+	config AdmissionConfig
+
+	mu           sync.Mutex
+	admitter     *admitter.Admitter
+	fencer       *fencer.Fencer
+	quarantiner  *quarantiner.Quarantiner
+	waiting      map[identifier.AttemptID]chan decision
+	announcement Announcement
+	backend      *forwarder.Forwarder
+	spread       []quarantiner.Entry
+	// wokeAt is when the process was last found to have been paused.
+	wokeAt       timer.Millis
+	awaitContact bool
+	drained      chan struct{}
+	swept        timer.Millis
+	latency      latencyMean
+}
+
+// NewAdmission returns an admission without a backend server.
+func NewAdmission(config AdmissionConfig) *Admission {
+	return &Admission{
+		config:      config,
+		admitter:    admitter.New(),
+		fencer:      fencer.New(fencer.Config{}),
+		quarantiner: quarantiner.New(quarantiner.Config{}),
+		waiting:     map[identifier.AttemptID]chan decision{},
+		drained:     make(chan struct{}),
+	}
+}
+
+// admit waits until an attempt may start or is refused.
+func (a *Admission) admit(attempt encoder.Attempt, fingerprint identifier.Fingerprint) decision {
+	a.mu.Lock()
+	now := a.config.Clock.Now()
+	switch a.fencer.Arrive(now, attempt.ID) {
+	case fencer.Fenced:
+		a.mu.Unlock()
+		return refuse(encoder.NotRun, encoder.ReasonFenced, 0)
+	case fencer.Duplicate, fencer.Uncertain:
+		a.mu.Unlock()
+		return refuse(encoder.Unknown, encoder.ReasonFenced, 0)
+	case fencer.Admitted:
+	}
+	verdict, left := a.quarantiner.Verdict(a.config.Clock.Wall(), fingerprint)
+	if verdict == quarantiner.Refuse {
+		outcome := a.refused(now, attempt.ID)
+		a.mu.Unlock()
+		return refuse(outcome, encoder.ReasonQuarantined, left)
+	}
+	answer := make(chan decision, 1)
+	a.waiting[attempt.ID] = answer
+	solo := attempt.Solo || verdict == quarantiner.RunSolo
+	a.step(now, admitter.Arrive{
+		Attempt: attempt.ID, Remaining: attempt.Remaining,
+		Fingerprint: fingerprint, HasFingerprint: true, Solo: solo,
+		ConfigurationVersion: attempt.Version,
+	})
+	a.mu.Unlock()
+	d := <-answer
+	d.solo = solo
+	return d
+}
+
+func refuse(outcome encoder.Outcome, reason encoder.Reason, retryAfter timer.Millis) decision {
+	return decision{refusal: encoder.Refusal{Outcome: outcome, Reason: reason, RetryAfterMs: retryAfter}}
+}
+
+// refused fences an attempt and tells which outcome may be answered.
+func (a *Admission) refused(now timer.Millis, attempt identifier.AttemptID) encoder.Outcome {
+	if a.fencer.Refused(now, attempt) {
+		return encoder.NotRun
+	}
+	return encoder.Unknown
+}
+
+// step passes an event to the admitter and performs its actions. The caller
+// holds the lock.
+func (a *Admission) step(now timer.Millis, event admitter.Event) {
+	var buffer [4]admitter.Action
+	for _, action := range a.admitter.Step(now, event, buffer[:0]) {
+		switch act := action.(type) {
+		case admitter.Start:
+			a.start(now, act)
+		case admitter.Refuse:
+			outcome := a.refused(now, act.Attempt)
+			a.decide(act.Attempt, refuse(outcome, encoder.Reason(act.Reason), act.RetryAfter))
+		case admitter.Lost:
+			a.lost(now, act)
+		case admitter.Recheck:
+			a.wokeAt, a.awaitContact = now, !a.config.Alone()
+			a.config.Logger.Warn("process was paused; rechecking before anything starts")
+			a.refresh(now)
+		case admitter.Drained:
+			a.close()
+		}
+	}
+}
+
+func (a *Admission) start(now timer.Millis, act admitter.Start) {
+	if !a.fencer.Started(now, act.Attempt) {
+		a.decide(act.Attempt, refuse(encoder.Unknown, encoder.ReasonFenced, 0))
+		return
+	}
+	a.decide(act.Attempt, decision{start: true, remaining: act.Remaining})
+}
+
+func (a *Admission) decide(attempt identifier.AttemptID, d decision) {
+	if answer, found := a.waiting[attempt]; found {
+		delete(a.waiting, attempt)
+		answer <- d
+	}
+}
+
+// lost tells the quarantiner which requests ran when the backend server died,
+// and passes the new verdicts to the queue before anything starts.
+func (a *Admission) lost(now timer.Millis, act admitter.Lost) {
+	crash := quarantiner.Crash{Uncertain: act.Uncertain}
+	for _, r := range act.Running {
+		crash.Running = append(crash.Running, quarantiner.Running{
+			Fingerprint: r.Fingerprint, HasFingerprint: r.HasFingerprint, Solo: r.Solo,
+		})
+	}
+	a.config.Logger.Warn("backend server lost", "running", len(act.Running), "uncertain", act.Uncertain)
+	a.quarantine(now, crash)
+}
+
+func (a *Admission) quarantine(now timer.Millis, event quarantiner.Event) {
+	for _, action := range a.quarantiner.Step(a.config.Clock.Wall(), event, nil) {
+		switch act := action.(type) {
+		case quarantiner.Spread:
+			a.spread = append(a.spread, act.Entry)
+			a.config.Logger.Warn("fingerprint of a crashing request", "fingerprint", act.Entry.Fingerprint, "kind", act.Entry.Kind)
+		case quarantiner.Changed:
+			a.step(now, admitter.Restrict{
+				Fingerprint: act.Fingerprint, TimeLeft: act.TimeLeft,
+				Solo: act.Verdict == quarantiner.RunSolo, Refuse: act.Verdict == quarantiner.Refuse,
+			})
+		}
+	}
+}
+
+// refresh passes the limits and the state of the failure domain in force.
+func (a *Admission) refresh(now timer.Millis) {
+	view := a.config.View()
+	wall := a.config.Clock.Wall()
+	limits, found := view.Schedule.Limits(wall, a.announcement.Service)
+	if found {
+		a.step(now, admitter.Limits{
+			Version: view.Version, MaxInFlight: int(limits.MaxInFlight), MaxQueue: int(limits.MaxQueue),
+			ColdLimit: int(limits.ColdLimit), RampCompletions: int(limits.RampCompletions), MaxTimeout: limits.MaxTimeout,
+		})
+		if service, known := view.Sheet.Service(a.announcement.Service); known {
+			a.quarantine(now, quarantiner.Settings{Period: service.Quarantine})
+		}
+	}
+	domain := view.Schedule.Domain(wall, a.config.FailureDomain)
+	if !domain.Known || a.awaitContact {
+		return
+	}
+	a.step(now, admitter.DomainState{Out: domain.Out, RampShare: domain.RampShare})
+}
+
+// Tick lets time pass; it is due every 50 ms.
+func (a *Admission) Tick() {
+	a.mu.Lock()
+	now := a.config.Clock.Now()
+	a.step(now, admitter.Tick{})
+	if a.config.Alone() {
+		a.awaitContact = false
+		a.step(now, admitter.Contact{Alone: true})
+	}
+	a.refresh(now)
+	if now-a.swept >= timer.Second {
+		a.swept = now
+		a.fencer.Sweep(now)
+		a.quarantine(now, quarantiner.Tick{})
+	}
+	entries, service := a.spread, a.announcement.Service
+	a.spread = nil
+	a.mu.Unlock()
+	if len(entries) > 0 {
+		a.config.Spread(service, entries)
+	}
+}
+
+// Contact tells that the log or another daemon answered a question asked at a
+// time. An answer to a question from before a pause says nothing about now.
+func (a *Admission) Contact(askedAt timer.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if askedAt < a.wokeAt {
+		return
+	}
+	now := a.config.Clock.Now()
+	waited := a.awaitContact
+	a.awaitContact = false
+	a.step(now, admitter.Contact{Alone: a.config.Alone()})
+	if waited {
+		a.refresh(now)
+	}
+}
+
+// Fence asks whether an attempt has started; if not, it never will.
+func (a *Admission) Fence(attempt identifier.AttemptID) fencer.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Clock.Now()
+	state := a.fencer.Fence(now, attempt)
+	if state != fencer.Queued {
+		return state
+	}
+	a.step(now, admitter.Cancel{Attempt: attempt})
+	return a.fencer.Fence(now, attempt)
+}
+
+// Remote takes quarantine entries of another daemon.
+func (a *Admission) Remote(service identifier.ServiceName, entries []quarantiner.Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if service != a.announcement.Service {
+		return
+	}
+	for _, entry := range entries {
+		a.quarantine(a.config.Clock.Now(), quarantiner.Remote{Entry: entry})
+	}
+}
+
+// Drain refuses new attempts and returns a channel that is closed when nothing
+// runs any more.
+func (a *Admission) Drain() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.drained = make(chan struct{})
+	a.step(a.config.Clock.Now(), admitter.Drain{})
+	return a.drained
+}
+
+func (a *Admission) close() {
+	select {
+	case <-a.drained:
+	default:
+		close(a.drained)
+	}
+}
+
+// Announce takes an announcement of the backend server.
+func (a *Admission) Announce(announcement Announcement) {
+	a.mu.Lock()
+	old := a.announcement
+	if announcement.Address != old.Address || announcement.Connections != old.Connections {
+		a.backend = forwarder.New(forwarder.Config{
+			Address: announcement.Address, MaxConnections: announcement.Connections,
+			ConnectTimeout: backendConnectTimeout, MaxAnswerBytes: a.config.MaxAnswerBytes, MaxIdle: backendMaxIdle,
+		})
+	}
+	a.announcement = announcement
+	now := a.config.Clock.Now()
+	if old.Service != announcement.Service {
+		a.refresh(now)
+	}
+	a.step(now, announcement.event())
+	a.mu.Unlock()
+	changed := announcement
+	changed.InFlight = old.InFlight
+	if changed != old {
+		a.config.Announced(announcement)
+	}
+}
+
+// Load returns the load for probes; found is false without a backend server.
+func (a *Admission) Load() (load encoder.Load, found bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.backend == nil {
+		return encoder.Load{}, false
+	}
+	current := a.admitter.Load()
+	return encoder.Load{
+		InFlight: int32(current.InFlight), Queued: int32(current.Queued), Limit: int32(current.Limit),
+		LatencyMicros: a.latency.micros(), Cold: current.Cold,
+	}, true
+}
+
+// Status returns the admitter's state and the announcement for operators.
+func (a *Admission) Status() (admitter.Status, Announcement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.admitter.Status(), a.announcement
+}
--- /dev/null
+++ b/internal/transport/receiver/forward.go
@@ -0,0 +1,143 @@
+package receiver
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Serve handles one attempt that another daemon, or this one, sends.
+func (a *Admission) Serve(ctx *fasthttp.RequestCtx) {
+	var attempt encoder.Attempt
+	if err := attempt.Decode(&ctx.Request.Header); err != nil {
+		a.config.Logger.Warn("attempt refused", "error", err.Error())
+		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}.Write(ctx)
+		return
+	}
+	fingerprint := identifier.NewFingerprint(string(ctx.Method()), string(ctx.RequestURI()), ctx.Request.Body())
+	d := a.admit(attempt, fingerprint)
+	if !d.start {
+		d.refusal.Write(ctx)
+		ctx.Response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
+		return
+	}
+	a.forward(ctx, attempt, fingerprint, d)
+}
+
+func (a *Admission) forward(ctx *fasthttp.RequestCtx, attempt encoder.Attempt, fingerprint identifier.Fingerprint, d decision) {
+	a.mu.Lock()
+	backend := a.backend
+	a.mu.Unlock()
+	started := time.Now()
+	request, response := &ctx.Request, &ctx.Response
+	encoder.RemoveInternal(&request.Header)
+	request.Header.Del(fasthttp.HeaderConnection)
+	request.Header.Set(encoder.HeaderTimeout, strconv.FormatInt(int64(d.remaining), 10))
+	result := backend.Send(request, response, d.remaining)
+	latency := time.Since(started)
+	ended := outcomeOf(result, response.StatusCode())
+	if d.solo {
+		a.clear(fingerprint, ended)
+	}
+	a.finish(attempt, ended, latency)
+	if refusal, refused := refusalOf(result, &response.Header); refused {
+		refusal.Write(ctx)
+	} else {
+		a.complete(ctx, attempt)
+	}
+	response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
+}
+
+// complete marks a backend server's answer as whole.
+func (a *Admission) complete(ctx *fasthttp.RequestCtx, attempt encoder.Attempt) {
+	header := &ctx.Response.Header
+	header.ResetConnectionClose()
+	header.Del(encoder.HeaderReason)
+	header.Set(encoder.HeaderOutcome, string(encoder.Complete))
+	if attempt.WantLoad && a.config.Measuring.TakeField(encoder.LoadFieldBytes) {
+		if load, found := a.Load(); found {
+			header.Set(encoder.HeaderLoad, load.String())
+		}
+	}
+}
+
+func (a *Admission) finish(attempt encoder.Attempt, result admitter.Result, latency time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Clock.Now()
+	a.fencer.Finished(now, attempt.ID)
+	if result == admitter.OK {
+		a.latency.observe(latency)
+	}
+	a.step(now, admitter.Complete{Attempt: attempt.ID, Result: result, Latency: timer.FromDuration(latency)})
+}
+
+// clear tells the quarantiner how a request ended that ran alone. A crash is
+// reported by the admitter instead.
+func (a *Admission) clear(fingerprint identifier.Fingerprint, result admitter.Result) {
+	if result == admitter.Crashed {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quarantine(a.config.Clock.Now(), quarantiner.Complete{
+		Fingerprint: fingerprint, Solo: true, Good: result == admitter.OK || result == admitter.Failed,
+	})
+}
+
+func outcomeOf(result forwarder.Result, status int) admitter.Result {
+	switch result {
+	case forwarder.Answered:
+		return resultOfStatus(status)
+	case forwarder.NotWritten:
+		return admitter.Shed
+	case forwarder.Refused:
+		return admitter.ConnectionRefused
+	case forwarder.TimedOut:
+		return admitter.TimedOut
+	case forwarder.Broken, forwarder.Incomplete:
+	}
+	return admitter.Crashed
+}
+
+func resultOfStatus(status int) admitter.Result {
+	switch {
+	case status == fasthttp.StatusServiceUnavailable:
+		return admitter.Shed
+	case status == fasthttp.StatusGatewayTimeout:
+		return admitter.TimedOut
+	case status >= fasthttp.StatusInternalServerError:
+		return admitter.Failed
+	}
+	return admitter.OK
+}
+
+// refusalOf returns what to answer if the backend server gave no whole answer.
+// A request is known not to have run if no byte of it was written, or if the
+// backend server shed it and says so.
+func refusalOf(result forwarder.Result, header *fasthttp.ResponseHeader) (encoder.Refusal, bool) {
+	switch result {
+	case forwarder.Answered:
+		var shed encoder.Refusal
+		if header.StatusCode() == fasthttp.StatusServiceUnavailable && shed.Decode(header) && shed.Outcome == encoder.NotRun {
+			return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonShed, RetryAfterMs: shed.RetryAfterMs}, true
+		}
+		return encoder.Refusal{}, false
+	case forwarder.NotWritten, forwarder.Refused:
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonConnection}, true
+	case forwarder.TimedOut:
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonDeadline}, true
+	case forwarder.Incomplete:
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonIncomplete}, true
+	case forwarder.Broken:
+	}
+	return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonConnection}, true
+}
--- /dev/null
+++ b/internal/transport/receiver/ingress.go
@@ -0,0 +1,255 @@
+// Package receiver serves callers (Ingress) and attempts of other daemons
+// (Admission) by HTTP. It does the I/O for the state machines that decide:
+// selector, retrier, admitter, fencer and quarantiner.
+//
+// # Usage
+//
+//	admission := receiver.NewAdmission(receiver.AdmissionConfig{...})
+//	ingress := receiver.NewIngress(receiver.IngressConfig{...})
+//	go (&fasthttp.Server{Handler: admission.Serve}).Serve(peerListener)
+//	go (&fasthttp.Server{Handler: ingress.Serve}).Serve(callerListener)
+//	// every 50 ms:
+//	admission.Tick()
+//	ingress.Tick()
+package receiver
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Times and limits of ingress.
+const (
+	refreshInterval = 100 * timer.Millis(1)
+	// routeIdle is how long an unused service keeps its load data.
+	routeIdle = 10 * timer.Minute
+	// drainRetryAfter tells callers when another daemon has taken over.
+	drainRetryAfter = 100 * timer.Millis(1)
+	maxAttempts     = 4
+)
+
+// IngressConfig holds what ingress needs.
+type IngressConfig struct {
+	Self          identifier.InstanceID
+	Incarnation   identifier.Incarnation
+	FailureDomain identifier.FailureDomain
+	Clock         timer.Clock
+	View          func() *holder.View
+	Membership    *holder.Membership
+	Peers         *Peers
+	Claimer       Claimer
+	// Probe asks an instance for its load.
+	Probe func(tracker.Member)
+	// MaxDepth bounds how deep calls nest.
+	MaxDepth int
+	// MaxInFlight bounds the callers' requests in flight.
+	MaxInFlight int
+	Policy      PolicyName
+	Logger      *slog.Logger
+}
+
+// Ingress serves callers. It is safe for concurrent use.
+type Ingress struct {
+	config   IngressConfig
+	sequence atomic.Uint64
+	inFlight atomic.Int64
+	draining atomic.Bool
+	metrics  *ingressMetrics
+
+	mu        sync.RWMutex
+	routes    map[identifier.ServiceName]*route
+	refreshed timer.Millis
+}
+
+// NewIngress returns an ingress without routes; they are made at first use.
+func NewIngress(config IngressConfig) *Ingress {
+	return &Ingress{
+		config: config, metrics: newIngressMetrics(),
+		routes: map[identifier.ServiceName]*route{},
+	}
+}
+
+// Serve handles one request of a caller.
+func (i *Ingress) Serve(ctx *fasthttp.RequestCtx) {
+	started := i.config.Clock.Now()
+	defer i.inFlight.Add(-1)
+	if i.inFlight.Add(1) > int64(i.config.MaxInFlight) {
+		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonTooManyRequest, RetryAfterMs: drainRetryAfter})
+		return
+	}
+	if i.draining.Load() {
+		ctx.SetConnectionClose()
+		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDraining, RetryAfterMs: drainRetryAfter})
+		return
+	}
+	r, refusal := i.parse(ctx, started)
+	if refusal != nil {
+		i.refuse(ctx, "", *refusal)
+		return
+	}
+	r.route.begin(started, r.service)
+	if r.keyed {
+		i.serveKeyed(ctx, r)
+		return
+	}
+	i.answer(ctx, r, i.run(ctx, r))
+}
+
+// request is what ingress knows of a caller's request.
+type request struct {
+	service    *parser.Service
+	route      *route
+	version    identifier.Version
+	deadline   timer.Millis
+	depth      int
+	idempotent bool
+	keyed      bool
+	key        identifier.IdempotencyKey
+}
+
+func (i *Ingress) parse(ctx *fasthttp.RequestCtx, now timer.Millis) (*request, *encoder.Refusal) {
+	header := &ctx.Request.Header
+	encoder.RemoveInternal(header)
+	timeout, given, err := encoder.DecodeTimeout(header)
+	if err != nil {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+	}
+	depth, err := encoder.DecodeDepth(header)
+	if err != nil {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+	}
+	if depth >= i.config.MaxDepth {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonTooDeep}
+	}
+	view := i.config.View()
+	if view.Version == 0 {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNotConfigured, RetryAfterMs: timer.Second}
+	}
+	path := string(ctx.Path())
+	service, found := view.Schedule.Route(string(header.Peek(encoder.HeaderService)), string(ctx.Host()), path)
+	if !found {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}
+	}
+	if !given {
+		timeout = service.DefaultTimeout
+	}
+	r := &request{
+		service: service, route: i.route(service.Name, now), version: view.Version,
+		deadline: now + min(timeout, service.MaxTimeout), depth: depth + 1,
+		idempotent: service.Idempotent(string(ctx.Method()), path),
+		key:        identifier.IdempotencyKey(header.Peek(encoder.HeaderIdempotencyKey)),
+	}
+	if r.key == "" && service.KeyRequired(string(ctx.Method()), path) {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonKeyRequired}
+	}
+	r.keyed = r.key != "" && !r.idempotent
+	return r, nil
+}
+
+func (i *Ingress) route(service identifier.ServiceName, now timer.Millis) *route {
+	i.mu.RLock()
+	r, found := i.routes[service]
+	i.mu.RUnlock()
+	if found {
+		return r
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if r, found = i.routes[service]; found {
+		return r
+	}
+	r = newRoute(routeConfig{self: i.config.Self, domain: i.config.FailureDomain, policy: i.config.Policy}, now)
+	i.refresh(now, service, r)
+	i.routes[service] = r
+	return r
+}
+
+// refresh gives a route the members that may get new work.
+func (i *Ingress) refresh(now timer.Millis, service identifier.ServiceName, r *route) {
+	schedule, wall := i.config.View().Schedule, i.config.Clock.Wall()
+	var members []tracker.Member
+	i.config.Membership.Read(func(t *tracker.Tracker) {
+		for _, m := range t.Instances(service) {
+			domain := schedule.Domain(wall, m.FailureDomain)
+			if m.State == tracker.Ready && domain.Known && !domain.Out && t.Usable(m.Instance, now) {
+				members = append(members, m)
+			}
+		}
+	})
+	r.replace(now, members)
+}
+
+// Tick refreshes the routes and sends probes that are due. Call it every 50 ms
+// at most.
+func (i *Ingress) Tick() {
+	now := i.config.Clock.Now()
+	refresh := now-i.refreshed >= refreshInterval
+	if refresh {
+		i.refreshed = now
+	}
+	i.mu.RLock()
+	routes := make(map[identifier.ServiceName]*route, len(i.routes))
+	for service, r := range i.routes {
+		routes[service] = r
+	}
+	i.mu.RUnlock()
+	for service, r := range routes {
+		if refresh {
+			i.refresh(now, service, r)
+		}
+		for _, m := range r.targets(now) {
+			i.config.Probe(m)
+		}
+	}
+	if refresh {
+		i.dropIdle(now)
+	}
+}
+
+func (i *Ingress) dropIdle(now timer.Millis) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for service, r := range i.routes {
+		r.mu.Lock()
+		idle := now-r.usedAt > routeIdle && r.usedAt != 0
+		r.mu.Unlock()
+		if idle {
+			delete(i.routes, service)
+		}
+	}
+}
+
+// Report takes the load of an instance from a probe.
+func (i *Ingress) Report(instance identifier.InstanceID, load encoder.Load) {
+	member, found := i.config.Membership.Lookup(instance)
+	if !found {
+		return
+	}
+	i.mu.RLock()
+	r, found := i.routes[member.Service]
+	i.mu.RUnlock()
+	if found {
+		r.report(i.config.Clock.Now(), instance, load)
+	}
+}
+
+// Drain refuses new requests from now on.
+func (i *Ingress) Drain() { i.draining.Store(true) }
+
+// InFlight returns the number of callers' requests in flight.
+func (i *Ingress) InFlight() int64 { return i.inFlight.Load() }
+
+func (i *Ingress) refuse(ctx *fasthttp.RequestCtx, service identifier.ServiceName, refusal encoder.Refusal) {
+	i.metrics.count(service, refusal.Outcome)
+	refusal.Write(ctx)
+}
--- /dev/null
+++ b/internal/transport/receiver/keyed.go
@@ -0,0 +1,112 @@
+package receiver
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// noOwnerRetryAfter is about the time a takeover of a shard takes.
+const noOwnerRetryAfter = 1000 * timer.Millis(1)
+
+// Claimer asks the owner of a key for the right to run a request.
+type Claimer interface {
+	// Claim returns the owner's verdict and a kept answer, or ok false if no
+	// owner could be reached before the deadline; the request then must not run.
+	Claim(deadline timer.Millis, request deduplicator.Request) (verdict deduplicator.Verdict, answer []byte, ok bool)
+	// Settle reports how the request of a granted claim ended.
+	Settle(request deduplicator.Request, outcome deduplicator.Outcome, answer []byte)
+}
+
+// serveKeyed runs a request with an idempotency key at most once.
+func (i *Ingress) serveKeyed(ctx *fasthttp.RequestCtx, r *request) {
+	claim := deduplicator.Request{
+		Key:         deduplicator.Key{Service: r.service.Name, Key: r.key},
+		Fingerprint: identifier.NewFingerprint(string(ctx.Method()), string(ctx.RequestURI()), ctx.Request.Body()),
+		Token:       i.token(),
+		Window:      r.service.DeduplicationWindow,
+	}
+	verdict, kept, ok := i.config.Claimer.Claim(r.deadline, claim)
+	if !ok {
+		i.refuse(ctx, r.service.Name, encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoOwner, RetryAfterMs: noOwnerRetryAfter})
+		return
+	}
+	if verdict == deduplicator.Granted {
+		i.runClaimed(ctx, r, claim)
+		return
+	}
+	if verdict == deduplicator.Done && i.replay(ctx, r, kept) {
+		return
+	}
+	i.refuse(ctx, r.service.Name, refusalOfVerdict(verdict))
+}
+
+func (i *Ingress) token() deduplicator.Token {
+	return deduplicator.Token(strconv.FormatUint(uint64(i.config.Incarnation), 36) + "-" + strconv.FormatUint(i.sequence.Add(1), 36))
+}
+
+func (i *Ingress) runClaimed(ctx *fasthttp.RequestCtx, r *request, claim deduplicator.Request) {
+	res := i.run(ctx, r)
+	switch {
+	case res.response != nil:
+		answer := encodeAnswer(res.response)
+		go i.config.Claimer.Settle(claim, deduplicator.OutcomeComplete, answer)
+	case res.refusal.Outcome == encoder.NotRun:
+		// The caller may send the key again as soon as it has the answer.
+		i.config.Claimer.Settle(claim, deduplicator.OutcomeNotRun, nil)
+	default:
+		go i.config.Claimer.Settle(claim, deduplicator.OutcomeUnknown, nil)
+	}
+	i.answer(ctx, r, res)
+}
+
+func refusalOfVerdict(verdict deduplicator.Verdict) encoder.Refusal {
+	switch verdict {
+	case deduplicator.Mismatch:
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonKeyMismatch}
+	case deduplicator.Done:
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonKeyDone}
+	case deduplicator.OwnerLost:
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonOwnerLost}
+	case deduplicator.Full:
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoOwner, RetryAfterMs: noOwnerRetryAfter}
+	case deduplicator.InProgress, deduplicator.Granted:
+	}
+	return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonKeyInProgress}
+}
+
+// encodeAnswer returns an answer as it is on the wire, or nil if it is too
+// large to keep.
+func encodeAnswer(response *fasthttp.Response) []byte {
+	if len(response.Body()) > deduplicator.MaxAnswerBytes {
+		return nil
+	}
+	var buf bytes.Buffer
+	w := bufio.NewWriter(&buf)
+	if response.Write(w) != nil || w.Flush() != nil || buf.Len() > deduplicator.MaxAnswerBytes {
+		return nil
+	}
+	return buf.Bytes()
+}
+
+// replay answers a resend with the answer of the run that completed.
+func (i *Ingress) replay(ctx *fasthttp.RequestCtx, r *request, kept []byte) bool {
+	if len(kept) == 0 {
+		return false
+	}
+	response := fasthttp.AcquireResponse()
+	if err := response.Read(bufio.NewReader(bytes.NewReader(kept))); err != nil {
+		fasthttp.ReleaseResponse(response)
+		return false
+	}
+	i.answer(ctx, r, result{response: response})
+	ctx.Response.Header.Set(encoder.HeaderReplayed, "true")
+	return true
+}
--- /dev/null
+++ b/internal/transport/receiver/metrics.go
@@ -0,0 +1,41 @@
+package receiver
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+// ingressMetrics counts requests by service and outcome.
+type ingressMetrics struct {
+	mu       sync.RWMutex
+	counters map[counterKey]*metrics.Counter
+}
+
+type counterKey struct {
+	service identifier.ServiceName
+	outcome encoder.Outcome
+}
+
+func newIngressMetrics() *ingressMetrics {
+	return &ingressMetrics{counters: map[counterKey]*metrics.Counter{}}
+}
+
+func (m *ingressMetrics) count(service identifier.ServiceName, outcome encoder.Outcome) {
+	key := counterKey{service, outcome}
+	m.mu.RLock()
+	counter, found := m.counters[key]
+	m.mu.RUnlock()
+	if !found {
+		name := fmt.Sprintf(`magnoliaknot_requests_total{service=%q,outcome=%q}`, service, outcome)
+		counter = metrics.GetOrCreateCounter(name)
+		m.mu.Lock()
+		m.counters[key] = counter
+		m.mu.Unlock()
+	}
+	counter.Inc()
+}
--- /dev/null
+++ b/internal/transport/receiver/route.go
@@ -0,0 +1,218 @@
+package receiver
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// PolicyName chooses the selection policy. All but the default are baselines
+// for measurements.
+type PolicyName string
+
+// Selection policies.
+const (
+	PolicyPowerOfChoices PolicyName = "power_of_choices"
+	PolicyRandom         PolicyName = "random"
+	PolicyRoundRobin     PolicyName = "round_robin"
+	PolicyLeastReported  PolicyName = "least_reported"
+)
+
+const (
+	// loadFieldInterval is the shortest time between two requests for the load
+	// field of one instance, so that its cost does not grow with the calls.
+	loadFieldInterval = 100 * timer.Millis(1)
+	// minStallTimeout is the shortest time without an answer after which an
+	// attempt is queried.
+	minStallTimeout = 250 * timer.Millis(1)
+	// minHedgeDelay keeps very fast services from being hedged on noise.
+	minHedgeDelay = 5 * timer.Millis(1)
+	// queryPercent is the share of requests whose attempts may be queried.
+	queryPercent = 20
+)
+
+// routeConfig is what all routes of a daemon share.
+type routeConfig struct {
+	self   identifier.InstanceID
+	domain identifier.FailureDomain
+	policy PolicyName
+}
+
+// route is what ingress knows about one service. It is safe for concurrent use.
+type route struct {
+	mu      sync.Mutex
+	policy  selector.Policy
+	probing *selector.PowerOfChoices
+	members map[identifier.InstanceID]tracker.Member
+	retries *retrier.Budget
+	hedges  *retrier.Budget
+	queries *retrier.Budget
+	answers latencyQuantiles
+	wanted  map[identifier.InstanceID]timer.Millis
+	usedAt  timer.Millis
+}
+
+func newRoute(config routeConfig, now timer.Millis) *route {
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	probing := selector.NewPowerOfChoices(selector.Config{Self: config.self, Domain: config.domain}, seed)
+	r := &route{
+		probing: probing,
+		members: map[identifier.InstanceID]tracker.Member{},
+		wanted:  map[identifier.InstanceID]timer.Millis{},
+		retries: retrier.NewBudget(retrier.BudgetConfig{}, now),
+		hedges:  retrier.NewBudget(retrier.BudgetConfig{}, now),
+		queries: retrier.NewBudget(retrier.BudgetConfig{Percent: queryPercent}, now),
+	}
+	switch config.policy {
+	case PolicyRandom:
+		r.policy = selector.NewFilter(selector.NewRandom(seed))
+	case PolicyRoundRobin:
+		r.policy = selector.NewFilter(selector.NewRoundRobin(seed))
+	case PolicyLeastReported:
+		r.policy = selector.NewFilter(selector.NewLeastReported(seed))
+	case PolicyPowerOfChoices:
+		r.policy = selector.NewFilter(probing)
+	}
+	return r
+}
+
+// step passes an event to the policy and, for a baseline, to the probe targets.
+func (r *route) step(now timer.Millis, event selector.Event) {
+	r.policy.Step(now, event)
+	r.probing.Step(now, event)
+}
+
+// begin counts a request of the service.
+func (r *route) begin(now timer.Millis, service *parser.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usedAt = now
+	r.retries.Configure(now, retrier.BudgetConfig{Percent: int(service.RetryBudgetPercent)})
+	r.hedges.Configure(now, retrier.BudgetConfig{Percent: int(service.HedgePercent)})
+	r.retries.Earn(now)
+	r.hedges.Earn(now)
+	r.queries.Earn(now)
+}
+
+// delays returns when to query and when to hedge an attempt.
+func (r *route) delays() (stall, hedge timer.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stall = max(minStallTimeout, 2*timer.FromDuration(r.answers.p99))
+	hedge = max(minHedgeDelay, timer.FromDuration(r.answers.p95)+1)
+	return stall, hedge
+}
+
+// pick chooses an instance and counts the attempt to it.
+func (r *route) pick(now timer.Millis, tried []identifier.InstanceID) (member tracker.Member, wantLoad, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	instance, found := r.policy.Pick(now, selector.Exclusions{Tried: tried})
+	if !found {
+		return tracker.Member{}, false, false
+	}
+	member, found = r.members[instance]
+	if !found {
+		return tracker.Member{}, false, false
+	}
+	r.step(now, selector.AttemptSent{Instance: instance})
+	if last, asked := r.wanted[instance]; !asked || now-last >= loadFieldInterval {
+		r.wanted[instance] = now
+		wantLoad = true
+	}
+	return member, wantLoad, true
+}
+
+// ended counts the end of an attempt.
+func (r *route) ended(now timer.Millis, instance identifier.InstanceID, latency time.Duration, result selector.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step(now, selector.AttemptEnded{Instance: instance, Latency: latency, Result: result})
+	if result == selector.Complete {
+		r.answers.observe(latency)
+	}
+}
+
+// eject keeps an instance that refuses connections away for a while.
+func (r *route) eject(now timer.Millis, instance identifier.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step(now, selector.InstanceEjected{Instance: instance})
+}
+
+// report takes the load of an instance.
+func (r *route) report(now timer.Millis, instance identifier.InstanceID, load encoder.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
+		InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Cold: load.Cold,
+		MeanLatency: time.Duration(load.LatencyMicros) * time.Microsecond, ReceivedAt: now,
+	}})
+}
+
+// replace sets the members that may be picked.
+func (r *route) replace(now timer.Millis, members []tracker.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.same(members) {
+		return
+	}
+	r.members = make(map[identifier.InstanceID]tracker.Member, len(members))
+	instances := make([]selector.Instance, 0, len(members))
+	for _, m := range members {
+		r.members[m.Instance] = m
+		instances = append(instances, selector.Instance{ID: m.Instance, Domain: m.FailureDomain, Slots: m.Slots})
+	}
+	for instance := range r.wanted {
+		if _, member := r.members[instance]; !member {
+			delete(r.wanted, instance)
+		}
+	}
+	r.step(now, selector.InstancesChanged{Instances: instances})
+}
+
+func (r *route) same(members []tracker.Member) bool {
+	if len(members) != len(r.members) {
+		return false
+	}
+	for _, m := range members {
+		if known, found := r.members[m.Instance]; !found || known != m {
+			return false
+		}
+	}
+	return true
+}
+
+// targets returns the members to probe now.
+func (r *route) targets(now timer.Millis) []tracker.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var targets []tracker.Member
+	for _, instance := range r.probing.ProbeTargets(now) {
+		if m, found := r.members[instance]; found {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
+
+// taker makes a budget of the route safe for concurrent use.
+type taker struct {
+	route  *route
+	budget *retrier.Budget
+}
+
+// Take takes one token.
+func (t taker) Take(now timer.Millis) bool {
+	t.route.mu.Lock()
+	defer t.route.mu.Unlock()
+	return t.budget.Take(now)
+}
