Add follower of one stream

Each daemon must fold a stream without gaps whether it reads the log or a relay, know how stale it may be, and recover from expired records. Sources decides without I/O which source to ask: the other kind after 3 s without an answer, or at once when a relay is stale or no longer has the next record. Follower folds, keeps a bounded window for other daemons and bootstraps from the newest checkpoint in the log, then from peers. The age of the end of the log counts from the start of a request, so a daemon never takes itself for fresher than it is. A daemon behind a reachable relay asks a failing log about once a minute.

TestFollowing fails with each of these faults planted: age counted from the end of the request, age taken over before catching up, gap or repeated record accepted, window kept after a restore, no switch of sources. TestRelayLoss fails with a switch after 1 s or never.

--- /dev/null
+++ b/internal/coordination/follower/fake_test.go
@@ -0,0 +1,216 @@
+package follower_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+var errDown = errors.New("not reachable")
+
+// chain is a state machine whose value depends on every record and their order.
+// It does not check offsets, so that only the follower keeps them in order.
+type chain struct {
+	next identifier.Offset
+	sum  uint64
+}
+
+func (c *chain) Apply(_ identifier.Offset, payload []byte) error {
+	c.next++
+	if !bytes.HasPrefix(payload, []byte("checkpoint")) {
+		c.sum = link(c.sum, payload)
+	}
+	return nil
+}
+
+func link(sum uint64, payload []byte) uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, sum)
+	h.Write(payload)
+	return h.Sum64()
+}
+
+func (c *chain) Restore(payload []byte) (bool, error) {
+	var restored chain
+	n, _ := fmt.Sscanf(string(payload), "checkpoint %d %d", &restored.next, &restored.sum)
+	if n != 2 || restored.next <= c.next {
+		return false, nil
+	}
+	*c = restored
+	return true, nil
+}
+
+func (c *chain) Folded() (identifier.Offset, bool) { return c.next - 1, c.next > 0 }
+
+func (c *chain) checkpoint() []byte { return fmt.Appendf(nil, "checkpoint %d %d", c.next, c.sum) }
+
+// world is a log and the daemons that follow it, all in one goroutine. A read
+// takes 20 ms, in which another record may arrive after the answer was made.
+type world struct {
+	clock    *timer.Manual
+	records  [][]byte
+	times    []timer.Millis
+	sums     []uint64
+	first    identifier.Offset
+	down     bool
+	late     bool
+	garble   int
+	nodes    []*node
+	appended int
+}
+
+type node struct {
+	world    *world
+	id       int
+	state    *chain
+	follower *follower.Follower
+	cutLog   bool
+	cutPeers bool
+	wakeAt   timer.Millis
+	reader   bool
+	logReads int
+}
+
+func newWorld(count int) *world {
+	w := &world{clock: timer.NewManual(1000, 0)}
+	for id := range count {
+		w.nodes = append(w.nodes, &node{world: w, id: id, reader: id == 0})
+		w.nodes[id].restart()
+	}
+	return w
+}
+
+func (n *node) restart() {
+	n.state = &chain{}
+	n.wakeAt = 0
+	n.follower = follower.New(follower.Config{
+		Stream: appender.Configuration, Log: (*nodeLog)(n), Relay: (*nodeRelay)(n), Clock: n.world.clock,
+		Rand:       rand.New(rand.NewPCG(uint64(n.id), 7)),
+		Assignment: func() follower.Assignment { return follower.Assignment{Reader: n.reader, Relays: n.others(2)} },
+		Peers:      func() []identifier.Address { return n.others(len(n.world.nodes)) },
+	}, n.state)
+}
+
+// others returns up to count other nodes, those with the lowest ids first.
+func (n *node) others(count int) []identifier.Address {
+	var list []identifier.Address
+	for id := range n.world.nodes {
+		if id != n.id && len(list) < count {
+			list = append(list, identifier.Address(fmt.Sprint(id)))
+		}
+	}
+	return list
+}
+
+func (w *world) append(payload []byte) {
+	sum := uint64(0)
+	if n := len(w.sums); n > 0 {
+		sum = w.sums[n-1]
+	}
+	if !bytes.HasPrefix(payload, []byte("checkpoint")) {
+		sum = link(sum, payload)
+	}
+	w.records, w.sums = append(w.records, payload), append(w.sums, sum)
+	w.times = append(w.times, w.clock.Now())
+}
+
+func (w *world) change() {
+	w.appended++
+	w.append(fmt.Appendf(nil, "change %d", w.appended))
+}
+
+func (w *world) next() identifier.Offset { return identifier.Offset(len(w.records)) }
+
+// turn runs every node that is due, then moves the clock.
+func (w *world) turn(span timer.Millis) {
+	for _, n := range w.nodes {
+		if n.wakeAt <= w.clock.Now() {
+			n.wakeAt = n.follower.Turn(context.Background()) + w.clock.Now()
+		}
+	}
+	w.clock.Advance(span)
+}
+
+// garbled drops or repeats a record of the next answer, as a faulty relay might.
+func (w *world) garbled(records []appender.Record) []appender.Record {
+	kind := w.garble
+	if len(records) > 1 {
+		w.garble = 0
+		switch kind {
+		case 1:
+			return records[1:]
+		case 2:
+			return append([]appender.Record{records[0], records[0]}, records[1:]...)
+		}
+	}
+	return records
+}
+
+type nodeLog node
+
+func (l *nodeLog) Append(context.Context, appender.Stream, []byte) (identifier.Offset, error) {
+	return 0, errDown
+}
+
+func (l *nodeLog) Read(_ context.Context, _ appender.Stream, from identifier.Offset, limit int, _ timer.Millis) (appender.Batch, error) {
+	w := l.world
+	l.logReads++
+	if w.down || l.cutLog {
+		return appender.Batch{}, errDown
+	}
+	if from < w.first {
+		return appender.Batch{}, &appender.ExpiredError{First: w.first, Next: w.next()}
+	}
+	batch := appender.Batch{First: w.first, Next: w.next()}
+	for o := from; o < w.next() && len(batch.Records) < min(limit, 3); o++ {
+		batch.Records = append(batch.Records, appender.Record{Offset: o, Payload: w.records[o]})
+	}
+	batch.Records = w.garbled(batch.Records)
+	if w.late {
+		w.clock.Advance(10)
+		w.change()
+		w.late = false
+		w.clock.Advance(10)
+	}
+	return batch, nil
+}
+
+type nodeRelay node
+
+func (r *nodeRelay) peer(address identifier.Address) (*node, error) {
+	var id int
+	if _, err := fmt.Sscan(string(address), &id); err != nil {
+		return nil, err
+	}
+	peer := r.world.nodes[id]
+	if r.cutPeers || peer.cutPeers {
+		return nil, errDown
+	}
+	return peer, nil
+}
+
+func (r *nodeRelay) Fetch(ctx context.Context, address identifier.Address, _ appender.Stream, from identifier.Offset, limit int, _ timer.Millis) (follower.Answer, error) {
+	peer, err := r.peer(address)
+	if err != nil {
+		return follower.Answer{}, err
+	}
+	answer := peer.follower.Fetch(ctx, from, limit, 0)
+	answer.Records = r.world.garbled(answer.Records)
+	return answer, nil
+}
+
+func (r *nodeRelay) Snapshot(_ context.Context, address identifier.Address, _ appender.Stream) (follower.Snapshot, error) {
+	peer, err := r.peer(address)
+	if err != nil || peer.state.next == 0 {
+		return follower.Snapshot{}, err
+	}
+	return follower.Snapshot{Payload: peer.state.checkpoint(), Folded: peer.state.next - 1}, nil
+}
--- /dev/null
+++ b/internal/coordination/follower/fetch.go
@@ -0,0 +1,106 @@
+package follower
+
+import (
+	"context"
+	"errors"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// fetch asks a source once and folds its records.
+func (f *Follower) fetch(ctx context.Context, action Fetch) Event {
+	started := f.config.Clock.Now()
+	from := f.next()
+	answer, err := f.ask(ctx, action, from)
+	var expired *appender.ExpiredError
+	if errors.As(err, &expired) || err == nil && answer.First > from {
+		return Expired{Source: action.Source}
+	}
+	if err == nil {
+		err = f.fold(answer.Records)
+	}
+	if err != nil {
+		f.config.Logger.Warn("stream not read", "stream", f.config.Stream, "source", action.Source, "error", err)
+		return Failed{Source: action.Source}
+	}
+	caughtUp := f.next() >= answer.Next
+	f.answered(started, answer, caughtUp)
+	_, direct := action.Source.(FromLog)
+	empty := f.next() == from
+	behind := answer.Next < from || empty && !caughtUp
+	return Fetched{
+		Source: action.Source,
+		Empty:  empty,
+		// A relay that is behind only for a moment catches up during a long poll.
+		Stale: !direct && (answer.ConfirmedAge > staleAfter || behind && !action.Probe),
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, action Fetch, from identifier.Offset) (Answer, error) {
+	wait := relayWait
+	if _, direct := action.Source.(FromLog); direct {
+		wait = logWait
+	}
+	if action.Probe {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, (wait + answerTime).Duration())
+	defer cancel()
+	relay, ok := action.Source.(FromRelay)
+	if ok {
+		return f.config.Relay.Fetch(ctx, relay.Address, f.config.Stream, from, readLimit, wait)
+	}
+	batch, err := f.config.Log.Read(ctx, f.config.Stream, from, readLimit, wait)
+	return Answer{Records: batch.Records, First: batch.First, Next: batch.Next}, err
+}
+
+// fold applies records strictly in the order of their offsets. It skips those
+// that are folded already and stops at a gap.
+func (f *Follower) fold(records []appender.Record) error {
+	for _, r := range records {
+		next := f.next()
+		if r.Offset < next {
+			continue
+		}
+		if r.Offset > next {
+			return Error.New("record at offset %d, expected %d", r.Offset, next)
+		}
+		err := f.state.Apply(r.Offset, r.Payload)
+		if f.next() == next {
+			return Error.New("record at offset %d was not folded: %w", r.Offset, err)
+		}
+		if err != nil {
+			f.config.Logger.Warn("record folded with an error", "stream", f.config.Stream, "offset", r.Offset, "error", err)
+		}
+		f.push(r)
+	}
+	return nil
+}
+
+func (f *Follower) push(r appender.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.window.push(r)
+	f.wake()
+}
+
+// wake lets waiting calls of Fetch look again. The caller holds the lock.
+func (f *Follower) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// answered notes the contact and, if nothing is missing, the confirmation. The
+// time is that before the request: the answer may have been made at any moment
+// after it, and the daemon must not take itself for fresher than it is.
+func (f *Follower) answered(started timer.Millis, answer Answer, caughtUp bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact = f.config.Clock.Now()
+	age := answer.ConfirmedAge
+	if caughtUp && age >= 0 && age < Never {
+		f.confirmed = max(f.confirmed, started-age)
+	}
+}
--- /dev/null
+++ b/internal/coordination/follower/follower_test.go
@@ -0,0 +1,315 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func TestFollower(t *testing.T) { tester.RunSpecs(t, "follower") }
+
+// waiting tells when a call begins to wait for its end.
+type waiting struct {
+	context.Context
+	started chan struct{}
+}
+
+func (w waiting) Done() <-chan struct{} {
+	w.started <- struct{}{}
+	return nil
+}
+
+// checkNodes checks what must hold at every moment.
+func (w *world) checkNodes(t *rapid.T) {
+	now := w.clock.Now()
+	for _, n := range w.nodes {
+		if next := n.state.next; next > 0 && n.state.sum != w.sums[next-1] {
+			t.Fatalf("node %d folded other records up to offset %d", n.id, next-1)
+		}
+		known := now - n.follower.ConfirmedAge()
+		for o, at := range w.times {
+			if at < known && identifier.Offset(o) >= n.state.next {
+				t.Fatalf("node %d claims to know the log at %d, but not offset %d of %d", n.id, known, o, at)
+			}
+		}
+		answer := n.follower.Fetch(context.Background(), n.state.next, 1, 0)
+		if answer.Next != n.state.next {
+			t.Fatalf("node %d serves up to %d, folded up to %d", n.id, answer.Next, n.state.next)
+		}
+	}
+}
+
+func (w *world) disturb(t *rapid.T) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	switch rapid.IntRange(0, 12).Draw(t, "what") {
+	case 0:
+		w.down = !w.down
+	case 1:
+		n.cutLog = !n.cutLog
+	case 2:
+		n.cutPeers = !n.cutPeers
+	case 3:
+		n.reader = !n.reader
+	case 4:
+		n.restart()
+	case 5:
+		if n.state.next > 0 && !w.down {
+			w.append(n.state.checkpoint())
+		}
+	case 6:
+		w.first = identifier.Offset(rapid.IntRange(int(w.first), len(w.records)).Draw(t, "first"))
+	case 7:
+		w.late = true
+	case 8:
+		w.garble = rapid.IntRange(1, 2).Draw(t, "garble")
+	default:
+		if !w.down {
+			w.change()
+		}
+	}
+}
+
+// Guards against gaps, reordered or repeated records, against a daemon that
+// takes itself for fresher than it is, and against a follower that stays behind
+// after outages of the log, cut links, restarts and expired records.
+func TestFollowing(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 4).Draw(t, "nodes"))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			w.disturb(t)
+			w.turn(timer.Millis(rapid.IntRange(0, 2000).Draw(t, "span")))
+			w.checkNodes(t)
+		}
+		w.down, w.late, w.garble = false, false, 0
+		best := w.nodes[0]
+		for _, n := range w.nodes {
+			n.cutLog, n.cutPeers = false, false
+			if n.state.next > best.state.next {
+				best = n
+			}
+		}
+		if best.state.next < w.first {
+			return // Every state and checkpoint is lost.
+		}
+		w.append(best.state.checkpoint())
+		w.change()
+		for range 600 {
+			w.turn(200)
+			w.checkNodes(t)
+		}
+		for _, n := range w.nodes {
+			if n.state.next != w.next() || n.follower.ConfirmedAge() > 10*timer.Second {
+				t.Fatalf("node %d is at %d of %d, age %d", n.id, n.state.next, w.next(), n.follower.ConfirmedAge())
+			}
+		}
+	})
+}
+
+// Guards against a follower that leaves a relay too early, stays cut off when
+// its relays are gone, or keeps the log busy after they return.
+func TestRelayLoss(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		w := newWorld(4)
+		n := w.nodes[3]
+		for range 50 {
+			w.turn(100)
+		}
+		before := n.logReads
+		for range rapid.IntRange(0, 29).Draw(t, "short") {
+			n.cutPeers = true
+			w.turn(100)
+		}
+		n.cutPeers = false
+		for range 50 {
+			w.turn(100)
+		}
+		if n.logReads != before {
+			t.Fatalf("%d reads of the log after a loss of less than 3 s", n.logReads-before)
+		}
+		n.cutPeers = true
+		for range 60 {
+			w.turn(100)
+		}
+		w.change()
+		w.turn(100)
+		w.turn(100)
+		if n.state.next != w.next() {
+			t.Fatal("cut off from the relays, but not on the log")
+		}
+		n.cutPeers = false
+		for range 150 {
+			w.turn(100)
+		}
+		before = n.logReads
+		for range 50 {
+			w.turn(100)
+		}
+		if n.logReads != before {
+			t.Fatal("still on the log after the relays returned")
+		}
+	})
+}
+
+var _ = Describe("an outage of the log", func() {
+	It("guards against tens of thousands of daemons that ask a failing log often", func() {
+		w := newWorld(4)
+		w.change()
+		run := func(turns int) {
+			for range turns {
+				w.turn(100)
+			}
+		}
+		run(50)
+		w.down = true
+		run(1200)
+		last := w.nodes[3]
+		before := last.logReads
+		run(1200)
+		Expect(last.logReads - before).To(BeNumerically("<=", 4))
+		w.down = false
+		w.change()
+		run(80)
+		Expect(last.state.next).To(Equal(w.next()))
+	})
+})
+
+var _ = Describe("bootstrapping", func() {
+	It("guards against a newcomer that takes the first snapshot instead of the newest", func() {
+		w := newWorld(4)
+		for range 9 {
+			w.change()
+		}
+		for _, n := range w.nodes[:3] {
+			n.cutPeers = true
+		}
+		w.turn(100)
+		w.turn(100)
+		w.down = true
+		for i, n := range w.nodes[:3] {
+			n.cutPeers = false
+			n.state.next = identifier.Offset([]int{3, 9, 6}[i])
+			n.state.sum = w.sums[n.state.next-1]
+		}
+		newcomer := w.nodes[3]
+		newcomer.restart()
+		newcomer.follower.Turn(context.Background())
+		Expect(newcomer.state.next).To(BeEquivalentTo(9))
+	})
+
+	It("guards against a start from an arbitrary record", func() {
+		w := newWorld(1)
+		for range 5 {
+			w.change()
+		}
+		w.first = 2
+		for range 100 {
+			w.turn(timer.Second)
+		}
+		Expect(w.nodes[0].state.next).To(BeEquivalentTo(0))
+	})
+
+	It("guards against a newcomer that uses a checkpoint whose next offset has expired", func() {
+		w := newWorld(1)
+		for range 5 {
+			w.change()
+		}
+		old := chain{next: 2, sum: w.sums[1]}
+		w.append(old.checkpoint())
+		w.first = 4
+		for range 500 {
+			w.turn(20)
+		}
+		Expect(w.nodes[0].state.next).To(BeNumerically("<=", 2))
+		Expect(w.nodes[0].logReads).To(BeNumerically("<", 50), "reads while there is nothing to start from")
+	})
+
+	It("guards against a follower that stays behind relays which restarted past it", func() {
+		w := newWorld(4)
+		w.change()
+		for range 10 {
+			w.turn(100)
+		}
+		n := w.nodes[3]
+		n.cutLog, n.cutPeers = true, true
+		for range 5 {
+			w.change()
+			w.turn(100)
+		}
+		w.append(w.nodes[0].state.checkpoint())
+		for _, relay := range w.nodes[:3] {
+			relay.restart()
+		}
+		for range 20 {
+			w.turn(100)
+		}
+		n.cutLog, n.cutPeers = false, false
+		for range 30 {
+			w.turn(100)
+		}
+		Expect(n.state.next).To(Equal(w.next()))
+	})
+
+	It("guards against a state that may start empty and never does, or does so at once", func() {
+		w := newWorld(1)
+		for range 5 {
+			w.change()
+		}
+		w.first = 4
+		state := &chain{}
+		f := follower.New(follower.Config{
+			Log: (*nodeLog)(w.nodes[0]), Relay: (*nodeRelay)(w.nodes[0]), Clock: w.clock, Rand: rand.New(rand.NewPCG(1, 1)),
+			Assignment: func() follower.Assignment { return follower.Assignment{} },
+			Peers:      func() []identifier.Address { return nil },
+			Empty: func(folded identifier.Offset) ([]byte, error) {
+				return fmt.Appendf(nil, "checkpoint %d 0", folded+1), nil
+			},
+		}, state)
+		f.Turn(context.Background())
+		Expect(state.next).To(BeEquivalentTo(0))
+		for range 30 {
+			w.clock.Advance(f.Turn(context.Background()) + 500)
+		}
+		Expect(state.next).To(BeEquivalentTo(5))
+	})
+
+	It("guards against a window that grows without bound or serves beyond it", func() {
+		w := newWorld(1)
+		for range 5000 {
+			w.change()
+		}
+		for range 2000 {
+			w.turn(timer.Second)
+		}
+		f := w.nodes[0].follower
+		answer := f.Fetch(context.Background(), 0, 10, 0)
+		Expect(answer.Records).To(BeEmpty())
+		Expect(answer.First).To(BeEquivalentTo(5000 - 2048))
+		answer = f.Fetch(context.Background(), answer.First, 10, 0)
+		Expect(answer.Records).To(HaveLen(10))
+		Expect(answer.Records[0].Offset).To(BeEquivalentTo(5000 - 2048))
+	})
+
+	It("guards against a waiting follower that misses a new record", func() {
+		w := newWorld(1)
+		w.turn(100)
+		w.turn(100)
+		f := w.nodes[0].follower
+		got := make(chan follower.Answer, 1)
+		ctx := waiting{Context: context.Background(), started: make(chan struct{}, 9)}
+		go func() { got <- f.Fetch(ctx, 0, 10, timer.Minute) }()
+		<-ctx.started
+		w.change()
+		w.turn(100)
+		Eventually(got).Should(Receive(HaveField("Records", HaveLen(1))))
+	})
+})
