--- a/internal/state/deduplicator/lease.go
+++ b/internal/state/deduplicator/lease.go
@@ -53,6 +53,7 @@
 	ownership    *Ownership
 	shards       []shardLease
 	members      []Member
+	running      map[Claimant]struct{}
 	startedAt    timer.Millis
 	logConfirmed timer.Millis
 	logSeen      bool
@@ -82,7 +83,7 @@
 	case LogConfirmed:
 		l.logConfirmed, l.logSeen = now, true
 	case Members:
-		l.members = e.List
+		l.setMembers(e.List)
 	case PromiseAnswered:
 		l.promised(e)
 	case Appended:
@@ -100,6 +101,14 @@
 	return actions
 }
 
+func (l *Lease) setMembers(members []Member) {
+	l.members = members
+	l.running = make(map[Claimant]struct{}, len(members))
+	for _, m := range members {
+		l.running[m.Claimant] = struct{}{}
+	}
+}
+
 // CanGrant tells whether this daemon may grant claims in an epoch right now.
 func (l *Lease) CanGrant(now timer.Millis, shard identifier.Shard, epoch identifier.Epoch) bool {
 	current := l.ownership.Current(shard)
@@ -202,7 +211,7 @@
 	var records []Record
 	for i := range l.shards {
 		shard := identifier.Shard(i)
-		if record, due := l.nextRecord(now, shard); due && l.mayAppend(now, shard) {
+		if record, due := l.nextRecord(now, shard); due {
 			l.shards[shard].lastAppend = now
 			records = append(records, record)
 		}
@@ -227,11 +236,17 @@
 	current := l.ownership.Current(shard)
 	switch {
 	case current.Epoch == 0:
+		if !l.mayAppend(now, shard) || len(l.members) == 0 {
+			return Record{}, false
+		}
 		rank := rankOf(shard, l.members, l.self.Instance)
-		due := len(l.members) > 0 && rank < maxUnownedRank && now-l.startedAt >= timer.Millis(rank+1)*rankDelay
+		due := rank < maxUnownedRank && now-l.startedAt >= timer.Millis(rank+1)*rankDelay
 		return l.own(now, shard, current), due
 	case current.Owner == l.self:
-		return l.own(now, shard, current), l.wantsRenewal(now, shard, current)
+		if !l.wantsRenewal(now, shard, current) || !l.mayAppend(now, shard) {
+			return Record{}, false
+		}
+		return l.own(now, shard, current), true
 	case slices.Contains(current.Successors, l.self):
 		return l.takeOver(now, shard, current)
 	}
@@ -295,23 +310,34 @@
 func (l *Lease) outsider(now timer.Millis, shard identifier.Shard, current Record) (Record, bool) {
 	state := &l.shards[shard]
 	if state.intentAppendedAt != 0 {
-		return l.own(now, shard, current), now-state.intentAppendedAt >= IntentSpan
+		if now-state.intentAppendedAt < IntentSpan || !l.mayAppend(now, shard) {
+			return Record{}, false
+		}
+		return l.own(now, shard, current), true
 	}
-	if l.anyRuns(append([]Claimant{current.Owner}, current.Successors...)) {
+	if l.anyRuns(current) {
 		state.goneSince = 0
 		return Record{}, false
 	}
 	if state.goneSince == 0 {
 		state.goneSince = now
 	}
-	due := now-state.goneSince >= goneTimeout && rankOf(shard, l.members, l.self.Instance) == 0
+	due := now-state.goneSince >= goneTimeout && l.mayAppend(now, shard) &&
+		rankOf(shard, l.members, l.self.Instance) == 0
 	return Record{
 		Kind: KindIntent, Shard: shard, Epoch: current.Epoch, BasedOnEpoch: current.Epoch, Owner: l.self,
 	}, due
 }
 
-func (l *Lease) anyRuns(claimants []Claimant) bool {
-	return slices.ContainsFunc(l.members, func(m Member) bool { return slices.Contains(claimants, m.Claimant) })
+// anyRuns tells whether the owner or a successor of an epoch is a member.
+func (l *Lease) anyRuns(current Record) bool {
+	if _, runs := l.running[current.Owner]; runs {
+		return true
+	}
+	return slices.ContainsFunc(current.Successors, func(c Claimant) bool {
+		_, runs := l.running[c]
+		return runs
+	})
 }
 
 // renew asks all successors of this daemon's shards for promises, one message
