--- a/cmd/magnoliaknot/main.go
+++ b/cmd/magnoliaknot/main.go
@@ -5,6 +5,13 @@
 //
 //	magnoliaknot daemon --settings FILE
 //	magnoliaknot sheet check FILE
+//	magnoliaknot --help
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/commander"
+)
+
+func main() { os.Exit(commander.Execute(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/coordination/follower/wire.go
+++ b/internal/coordination/follower/wire.go
@@ -50,6 +50,8 @@
 		return Snapshot{Payload: res.GetConfiguration(), Folded: identifier.Offset(res.GetConfigurationOffset())}, nil
 	case appender.Membership:
 		return Snapshot{Payload: res.GetMembership(), Folded: identifier.Offset(res.GetMembershipOffset())}, nil
+	case appender.Ownership:
+		return Snapshot{Payload: res.GetOwnership(), Folded: identifier.Offset(res.GetOwnershipOffset())}, nil
 	default:
 		return Snapshot{}, Error.New("snapshots have no stream %q", stream)
 	}
--- /dev/null
+++ b/internal/runner/membership.go
@@ -0,0 +1,269 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	watchInterval = timer.Second
+	pingTimeout   = 800 * timer.Millis(1)
+	// confirmedRecently is the age up to which the end of a stream counts as
+	// confirmed.
+	confirmedRecently = 5 * timer.Second
+	// maxSnapshotPeers bounds the daemons that are asked for a snapshot.
+	maxSnapshotPeers = 8
+)
+
+func (d *daemon) newFollowers() map[appender.Stream]*follower.Follower {
+	relay := follower.PeerRelay{Client: d.peers.Client}
+	followers := map[appender.Stream]*follower.Follower{}
+	for stream, state := range map[appender.Stream]follower.State{
+		appender.Configuration: d.configuration,
+		appender.Membership:    d.membership,
+		appender.Ownership:     d.claimer,
+	} {
+		config := follower.Config{
+			Stream: stream, Log: d.log, Relay: relay, Clock: d.clock, Rand: newRand(),
+			Assignment: d.assignment, Peers: d.snapshotPeers, Logger: d.logger,
+		}
+		if stream == appender.Membership {
+			config.Empty = tracker.EmptyCheckpoint
+		}
+		followers[stream] = follower.New(config, state)
+	}
+	return followers
+}
+
+// assignment tells whether this daemon reads the log and which relays it
+// follows. Before it knows the membership it reads the log.
+func (d *daemon) assignment() follower.Assignment {
+	var assignment follower.Assignment
+	d.membership.Read(func(t *tracker.Tracker) {
+		_, reader := t.ReaderRank(d.settings.Node)
+		relays := t.Relays(d.settings.FailureDomain, d.settings.Node)
+		assignment.Reader = reader || len(relays) == 0
+		for _, m := range relays {
+			assignment.Relays = append(assignment.Relays, m.Peer)
+		}
+	})
+	return assignment
+}
+
+// snapshotPeers returns daemons that may know the state while the log is down.
+func (d *daemon) snapshotPeers() []identifier.Address {
+	peers := slices.Clone(d.settings.Seeds)
+	d.membership.Read(func(t *tracker.Tracker) {
+		for _, m := range t.Readers(d.settings.FailureDomain) {
+			if m.Instance != d.settings.Node && !slices.Contains(peers, m.Peer) {
+				peers = append(peers, m.Peer)
+			}
+		}
+	})
+	return peers[:min(len(peers), maxSnapshotPeers)]
+}
+
+// Snapshot encodes the folded states for daemons that cannot read the log.
+func (d *daemon) Snapshot() (*peerv1.GetSnapshotResponse, error) {
+	answer := new(peerv1.GetSnapshotResponse)
+	for _, part := range []struct {
+		state interface {
+			Folded() (identifier.Offset, bool)
+			Checkpoint() ([]byte, error)
+		}
+		payload *[]byte
+		offset  *uint64
+	}{
+		{d.configuration, &answer.Configuration, &answer.ConfigurationOffset},
+		{d.membership, &answer.Membership, &answer.MembershipOffset},
+		{d.claimer, &answer.Ownership, &answer.OwnershipOffset},
+	} {
+		folded, found := part.state.Folded()
+		if !found {
+			continue
+		}
+		payload, err := part.state.Checkpoint()
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		*part.payload, *part.offset = payload, uint64(folded)
+	}
+	return answer, nil
+}
+
+func (d *daemon) newAnnouncer() *announcer.Announcer {
+	return announcer.New(announcer.Config{
+		Log: d.log, Peers: announcer.PeerClient{Client: d.peers.Client}, Clock: d.clock, Rand: newRand(),
+		Retention: d.settings.Log.Retention, Standing: d.standing,
+		Incarnate: func(above identifier.Incarnation) identifier.Incarnation {
+			return max(above+1, newIncarnation(d.clock.Wall()))
+		},
+		Suspected: func(suspect tracker.Suspect) { d.observe(tracker.Suspected{Suspect: suspect}) },
+		Logger:    d.logger,
+	})
+}
+
+func (d *daemon) standing(incarnation identifier.Incarnation) announcer.Standing {
+	var standing announcer.Standing
+	d.membership.Read(func(t *tracker.Tracker) {
+		standing.Present = t.Present(incarnation)
+		standing.Above, standing.Removed = t.Removed(incarnation)
+		_, standing.Reader = t.ReaderRank(d.settings.Node)
+		for _, m := range t.Relays(d.settings.FailureDomain, d.settings.Node) {
+			standing.Readers = append(standing.Readers, m.Peer)
+		}
+	})
+	return standing
+}
+
+// announced joins the membership with what the backend server said of itself.
+func (d *daemon) announced(a receiver.Announcement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping {
+		return
+	}
+	class, known := identifier.InstanceClass(""), false
+	if sheet := d.configuration.View().Sheet; sheet != nil {
+		if service, found := sheet.Service(a.Service); found {
+			class, known = service.InstanceClass, true
+		}
+	}
+	if !known {
+		class = "unknown"
+	}
+	d.revision++
+	d.joined = true
+	d.announcer.Join(tracker.Member{
+		Instance: d.settings.Node, Incarnation: d.incarnation, Revision: d.revision,
+		Service: a.Service, FailureDomain: d.settings.FailureDomain, Region: d.settings.Region,
+		Class: class, Slots: a.Slots,
+		Peer: d.settings.Addresses.Peer, Probe: d.settings.Addresses.Probe, State: a.State,
+	})
+	d.logger.Info("backend server announced", "service", a.Service, "state", a.State.String(), "slots", a.Slots)
+}
+
+// observe passes an event to the membership table and performs its actions.
+func (d *daemon) observe(event tracker.Event) {
+	for _, action := range d.membership.Step(d.clock.Now(), event) {
+		switch a := action.(type) {
+		case tracker.AppendLeave:
+			if err := d.announcer.Append(a.Leave); err != nil {
+				d.logger.Warn("leave not queued", "instance", a.Leave.Instance, "error", err.Error())
+			}
+		case tracker.SendSuspicion:
+			go d.sendSuspicion(a.Suspect)
+		}
+	}
+}
+
+func (d *daemon) sendSuspicion(suspect tracker.Suspect) {
+	var readers []tracker.Member
+	d.membership.Read(func(t *tracker.Tracker) { readers = t.Readers(d.settings.FailureDomain) })
+	client := announcer.PeerClient{Client: d.peers.Client}
+	for _, m := range readers {
+		if m.Instance == d.settings.Node {
+			d.observe(tracker.Suspected{Suspect: suspect})
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout.Duration())
+		if _, err := client.Announce(ctx, m.Peer, []tracker.Record{suspect}); err != nil {
+			d.logger.Debug("suspicion not delivered", "peer", m.Peer, "error", err.Error())
+		}
+		cancel()
+	}
+}
+
+// watch checks the neighbours once a second.
+func (d *daemon) watch(ctx context.Context) {
+	every(ctx, watchInterval, func() {
+		confirmed := d.followers[appender.Membership].ConfirmedAge() < confirmedRecently
+		d.observe(tracker.Ticked{LogConfirmed: confirmed})
+		var watched []tracker.Member
+		d.membership.Read(func(t *tracker.Tracker) { watched = t.Watched(d.settings.Node) })
+		for _, m := range watched {
+			go d.ping(ctx, m)
+		}
+	})
+}
+
+func (d *daemon) ping(ctx context.Context, m tracker.Member) {
+	askedAt := d.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
+	defer cancel()
+	answer, err := d.peers.Client(m.Peer).Ping(ctx, &peerv1.PingRequest{
+		Instance: string(d.settings.Node), Incarnation: uint64(d.incarnation),
+	})
+	alive := err == nil && answer.Instance == string(m.Instance)
+	if ctx.Err() == nil || alive {
+		if alive {
+			d.admission.Contact(askedAt)
+		}
+	}
+	d.observe(tracker.Observed{Instance: m.Instance, Alive: alive})
+}
+
+// contact tells admission that a stream answered.
+func (d *daemon) contact() {
+	for _, f := range d.followers {
+		if age := f.ContactAge(); age < watchInterval {
+			d.admission.Contact(d.clock.Now() - age - confirmedRecently)
+			return
+		}
+	}
+}
+
+func (d *daemon) report(instance identifier.InstanceID, load encoder.Load) { d.ingress.Report(instance, load) }
+
+// claimants lists the daemons that can own key shards.
+func (d *daemon) claimants() []deduplicator.Member {
+	var members []deduplicator.Member
+	now := d.clock.Now()
+	d.membership.Read(func(t *tracker.Tracker) {
+		for m := range t.Members() {
+			if m.Instance == d.settings.Node {
+				m.Incarnation = d.incarnation
+			}
+			if m.Instance == d.settings.Node || t.Usable(m.Instance, now) {
+				members = append(members, deduplicator.Member{
+					Claimant:      deduplicator.Claimant{Instance: m.Instance, Incarnation: m.Incarnation},
+					FailureDomain: m.FailureDomain,
+				})
+			}
+		}
+	})
+	return members
+}
+
+func (d *daemon) addressOf(instance identifier.InstanceID) (identifier.Address, bool) {
+	if m, found := d.membership.Lookup(instance); found {
+		return m.Peer, true
+	}
+	return "", false
+}
+
+// every calls a function at an interval until the context ends.
+func every(ctx context.Context, interval timer.Millis, call func()) {
+	ticker := time.NewTicker(interval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			call()
+		}
+	}
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,176 @@
+// Package runner builds a daemon from its settings and runs it until it is
+// told to stop.
+//
+// # Usage
+//
+//	err := runner.Run(ctx, settings, logger) // returns after a graceful stop
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/claimer"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
+	"github.com/magnoliaknot/magnoliaknot/internal/loader"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/prober"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("daemon")
+
+// incarnationBits is the number of random low bits of an incarnation.
+const incarnationBits = 16
+
+// daemon is one running daemon.
+type daemon struct {
+	settings *loader.Settings
+	logger   *slog.Logger
+	clock    timer.Clock
+
+	// incarnation identifies this process in attempts and leases.
+	incarnation identifier.Incarnation
+
+	log           *appender.Client
+	configuration *holder.Configuration
+	membership    *holder.Membership
+	peers         *receiver.Peers
+	measuring     *receiver.Measuring
+	admission     *receiver.Admission
+	ingress       *receiver.Ingress
+	prober        *prober.Prober
+	claimer       *claimer.Claimer
+	announcer     *announcer.Announcer
+	followers     map[appender.Stream]*follower.Follower
+	spread        *quarantineSpread
+
+	mu       sync.Mutex
+	revision uint32
+	joined   bool
+	stopping bool
+}
+
+// Run runs a daemon until the context ends, then stops it gracefully.
+func Run(ctx context.Context, settings *loader.Settings, logger *slog.Logger) error {
+	d, err := newDaemon(settings, logger)
+	if err != nil {
+		return err
+	}
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	var background sync.WaitGroup
+	for _, loop := range d.loops() {
+		background.Go(func() { loop(work) })
+	}
+	logger.Info("daemon started", "node", settings.Node, "incarnation", d.incarnation, "failure_domain", settings.FailureDomain)
+	select {
+	case <-ctx.Done():
+	case err = <-servers.failed:
+		logger.Error("server failed", "error", err.Error())
+	}
+	d.stop(servers)
+	cancel()
+	background.Wait()
+	return Error.Wrap(err)
+}
+
+func newDaemon(settings *loader.Settings, logger *slog.Logger) (*daemon, error) {
+	clock := timer.NewSystem()
+	d := &daemon{
+		settings: settings, logger: logger, clock: clock,
+		incarnation:   newIncarnation(clock.Wall()),
+		log:           appender.NewClient(appender.Config{BaseURL: settings.Log.URL}),
+		configuration: holder.NewConfiguration(logger),
+		membership: holder.NewMembership(tracker.Config{
+			Self: settings.Node, FailureDomain: settings.FailureDomain, Retention: settings.Log.Retention,
+		}),
+		peers:     receiver.NewPeers(int(settings.Limits.BodyBytes)),
+		measuring: receiver.NewMeasuring(clock),
+	}
+	d.spread = newQuarantineSpread(d)
+	d.claimer = d.newClaimer()
+	d.followers = d.newFollowers()
+	d.announcer = d.newAnnouncer()
+	d.admission = receiver.NewAdmission(receiver.AdmissionConfig{
+		Clock: clock, FailureDomain: settings.FailureDomain, View: d.configuration.View,
+		Measuring: d.measuring, MaxAnswerBytes: int(settings.Limits.BodyBytes),
+		Alone: d.alone, Spread: d.spread.add, Announced: d.announced, Logger: logger,
+	})
+	var err error
+	d.prober, err = prober.Listen(prober.Config{
+		Address: settings.Addresses.Probe, Clock: clock, Budget: d.measuring,
+		Load: d.admission.Load, Report: d.report,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.ingress = receiver.NewIngress(receiver.IngressConfig{
+		Self: settings.Node, Incarnation: d.incarnation, FailureDomain: settings.FailureDomain,
+		Clock: clock, View: d.configuration.View, Membership: d.membership, Peers: d.peers, Claimer: d.claimer,
+		Probe: func(m tracker.Member) {
+			if m.Probe != "" {
+				d.prober.Probe(m.Instance, m.Probe)
+			}
+		},
+		MaxDepth: int(settings.Limits.CallDepth), MaxInFlight: int(settings.Limits.RequestsInFlight),
+		Policy: receiver.PolicyName(settings.Policy), Logger: logger,
+	})
+	return d, nil
+}
+
+// newIncarnation is larger than that of any earlier process of the instance, as
+// long as the clock does not go back.
+func newIncarnation(wall timer.Millis) identifier.Incarnation {
+	return identifier.Incarnation(uint64(wall)<<incarnationBits | rand.Uint64N(1<<incarnationBits))
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (d *daemon) newClaimer() *claimer.Claimer {
+	return claimer.New(claimer.Config{
+		Self:   deduplicator.Claimant{Instance: d.settings.Node, Incarnation: d.incarnation},
+		Shards: uint32(d.settings.KeyShards), Clock: d.clock, Log: d.log, Logger: d.logger,
+		Peer: d.peers.Client, Members: d.claimants, Address: d.addressOf, Window: d.window,
+	})
+}
+
+// window returns how long keys of a service are remembered.
+func (d *daemon) window(service identifier.ServiceName) (timer.Millis, bool) {
+	sheet := d.configuration.View().Sheet
+	if sheet == nil {
+		return 0, false
+	}
+	found, known := sheet.Service(service)
+	if !known {
+		return 0, false
+	}
+	return found.DeduplicationWindow, true
+}
+
+// alone tells whether no other daemon is known. A daemon that has not read the
+// membership yet is not alone.
+func (d *daemon) alone() bool {
+	_, folded := d.membership.Folded()
+	return folded && d.membership.Len() <= 1 && len(d.settings.Seeds) == 0
+}
+
+func (d *daemon) draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopping
+}
