Add the life of a request and its budgets

A request that may not be repeated must never have two attempts that may run, and "not run" may be told only when every attempt is proven not run. An attempt counts as possibly run until a refusal or a fence proves the contrary. An attempt without an answer is queried after the stall timeout and then at doubled intervals; one whose connection broke is queried twice at most, so that a caller does not wait until the deadline for a daemon that is gone. A keyed request is awaited when its caller has gone, because the caller's next arrival needs the outcome of the claim.

--- /dev/null
+++ b/internal/state/retrier/retrier.go
@@ -0,0 +1,349 @@
+// Package retrier decides about one request: when to send an attempt, to hedge,
+// to ask whether an attempt has started, and what to tell the caller.
+//
+// Every attempt that was sent may have run until it is proven not to have. A
+// request that may not be repeated therefore has at most one such attempt, and
+// "not run" is answered only when all attempts are proven not run.
+//
+// # Usage
+//
+//	request := retrier.New(retrier.Config{Deadline: now + timeout, MaxAttempts: 3}, budgets)
+//	for _, action := range request.Step(now, retrier.Begin{}) {
+//		switch a := action.(type) {
+//		case retrier.Send:
+//			...
+//		}
+//	}
+//
+// A Retrier is not safe for concurrent use, and budgets are shared by the
+// requests of a service; their owner serialises calls or passes budgets that
+// lock.
+package retrier
+
+import "github.com/magnoliaknot/magnoliaknot/pkg/timer"
+
+const (
+	// maxAttempts bounds the attempts of a request whatever its configuration.
+	maxAttempts = 8
+	// defaultStallTimeout is used if the configuration gives none.
+	defaultStallTimeout timer.Millis = 250
+	// maxBrokenQueries bounds the queries about an attempt that can no longer
+	// answer, so that a caller is not held until the deadline for a daemon that
+	// is gone. The second query covers a lost one.
+	maxBrokenQueries = 2
+)
+
+// Taker is a budget.
+type Taker interface{ Take(now timer.Millis) bool }
+
+// Budgets are the budgets of the service. Nil allows nothing.
+type Budgets struct {
+	Retries Taker
+	Hedges  Taker
+	Queries Taker
+}
+
+// Config describes a request.
+type Config struct {
+	// Deadline is the time by which the caller gets an answer.
+	Deadline timer.Millis
+	// Idempotent allows retries after an attempt that may have run, and hedging.
+	Idempotent bool
+	// Keyed says that the request holds the claim of an idempotency key. It is
+	// never repeated, and it is awaited when the caller has gone, so that the
+	// caller's next arrival gets the answer.
+	Keyed bool
+	// MaxAttempts includes the first attempt and hedges; at most 8.
+	MaxAttempts int
+	// StallTimeout is the time without an answer after which an attempt is
+	// queried; then again after twice the time. Zero means 250 ms.
+	StallTimeout timer.Millis
+	// HedgeDelay is the time after which a second attempt is sent. Zero means
+	// no hedging.
+	HedgeDelay timer.Millis
+	// Solo marks a request suspected of crashing backend servers. It is never
+	// repeated.
+	Solo bool
+}
+
+func (c Config) repeatable() bool { return c.Idempotent && !c.Keyed && !c.Solo }
+
+// Retrier is one request.
+type Retrier struct {
+	config  Config
+	budgets Budgets
+
+	attempts  [maxAttempts]attempt
+	sent      Attempt
+	begun     bool
+	finished  bool
+	gone      bool
+	exhausted bool
+	hedgeAt   timer.Millis // Zero when no hedge is to come.
+	wakeAt    timer.Millis // Zero when no timer is set.
+	now       timer.Millis
+
+	reason     Reason
+	retryAfter timer.Millis
+
+	actions []Action
+	buffer  [4]Action
+}
+
+// New returns a request that has not begun.
+func New(config Config, budgets Budgets) *Retrier {
+	config.MaxAttempts = min(max(config.MaxAttempts, 1), maxAttempts)
+	if config.StallTimeout <= 0 {
+		config.StallTimeout = defaultStallTimeout
+	}
+	r := &Retrier{config: config, budgets: budgets}
+	r.actions = r.buffer[:0]
+	return r
+}
+
+// Step takes in an event and returns what to do, in order. The result is valid
+// until the next call. Time that jumps back counts as standing still.
+func (r *Retrier) Step(now timer.Millis, event Event) []Action {
+	if r.finished {
+		return nil
+	}
+	r.now = max(r.now, now)
+	r.actions = r.actions[:0]
+	r.take(event)
+	if !r.finished {
+		r.proceed()
+	}
+	return r.actions
+}
+
+func (r *Retrier) take(event Event) {
+	switch e := event.(type) {
+	case Begin:
+		if !r.begun && r.config.repeatable() && r.config.HedgeDelay > 0 {
+			r.hedgeAt = r.now + r.config.HedgeDelay
+		}
+		r.begun = true
+	case Answered:
+		r.answered(e)
+	case NotRun:
+		r.notRun(e)
+	case Unknown:
+		if a := r.find(e.Attempt); a != nil {
+			a.breakOff(r.now, r.config.StallTimeout, r.config.repeatable())
+		}
+	case FenceResult:
+		r.fenceResult(e)
+	case Timer:
+		r.wakeAt = 0
+	case CallerGone:
+		r.gone = true
+	case NoInstance:
+		r.exhausted = true
+		r.notRun(NotRun{Attempt: e.Attempt, Reason: ReasonNoInstance})
+	}
+}
+
+func (r *Retrier) find(number Attempt) *attempt {
+	if number < 1 || number > r.sent {
+		return nil
+	}
+	return &r.attempts[number-1]
+}
+
+func (r *Retrier) answered(e Answered) {
+	a := r.find(e.Attempt)
+	switch {
+	case a == nil:
+	case e.Complete:
+		a.fate = answered
+		r.finish(Finish{Outcome: OutcomeComplete, Attempt: e.Attempt})
+	case a.fate != notRun:
+		a.fate = lost
+	}
+}
+
+func (r *Retrier) notRun(e NotRun) {
+	a := r.find(e.Attempt)
+	if a == nil {
+		return
+	}
+	a.fate = notRun
+	// That no instance is left is worth telling only if none has refused.
+	if e.Reason != ReasonNoInstance || r.reason == "" {
+		r.reason = e.Reason
+	}
+	if e.Reason == ReasonQuarantined {
+		r.exhausted = true
+	}
+	if e.RetryAfter > 0 && (r.retryAfter == 0 || e.RetryAfter < r.retryAfter) {
+		r.retryAfter = e.RetryAfter
+	}
+}
+
+func (r *Retrier) fenceResult(e FenceResult) {
+	a := r.find(e.Attempt)
+	if a == nil {
+		return
+	}
+	switch e.State {
+	case FenceNotRun:
+		if a.fate == pending {
+			r.add(CancelAttempt{Attempt: e.Attempt})
+		}
+		r.notRun(NotRun{Attempt: e.Attempt, Reason: ReasonFenced})
+	case FenceRunning:
+		if a.fate == broken {
+			a.fate = lost
+		}
+	case FenceFinished:
+		a.finishedThere(r.now, r.config.StallTimeout)
+	case FenceUnknown:
+	}
+}
+
+// proceed does whatever is due after an event.
+func (r *Retrier) proceed() {
+	switch {
+	case r.now >= r.config.Deadline:
+		r.end(ReasonDeadline)
+		return
+	case r.gone && !(r.config.Keyed && r.open()):
+		r.end(ReasonCallerGone)
+		return
+	case !r.begun:
+		return
+	}
+	for number := Attempt(1); number <= r.sent; number++ {
+		r.check(number)
+	}
+	switch {
+	case r.sent == 0:
+		r.send(false)
+	case !r.open():
+		if !r.mayRetry() {
+			r.end("")
+			return
+		}
+		r.send(false)
+	case r.hedgeAt > 0 && r.now >= r.hedgeAt:
+		r.hedge()
+	}
+	r.wake()
+}
+
+// check queries or gives up an attempt whose time has come.
+func (r *Retrier) check(number Attempt) {
+	a := &r.attempts[number-1]
+	if !a.open() || r.now < a.due {
+		return
+	}
+	if a.fate == broken && a.queries >= maxBrokenQueries {
+		a.fate = lost
+		return
+	}
+	if a.finished {
+		a.fate = lost
+		r.add(CancelAttempt{Attempt: number})
+		return
+	}
+	a.queries++
+	a.due = r.now + a.interval
+	if a.fate == pending {
+		a.interval *= 2
+	}
+	if take(r.budgets.Queries, r.now) {
+		r.add(Query{Attempt: number})
+	}
+}
+
+// open reports whether an attempt may still answer or is being queried.
+func (r *Retrier) open() bool {
+	for i := range r.sent {
+		if r.attempts[i].open() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRetry reports whether another attempt is allowed, and takes it from the
+// retry budget.
+func (r *Retrier) mayRetry() bool {
+	if r.gone || r.exhausted || int(r.sent) >= r.config.MaxAttempts {
+		return false
+	}
+	if !r.config.repeatable() && !r.provenNotRun() {
+		return false
+	}
+	return take(r.budgets.Retries, r.now)
+}
+
+func (r *Retrier) provenNotRun() bool {
+	for i := range r.sent {
+		if r.attempts[i].fate != notRun {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Retrier) hedge() {
+	r.hedgeAt = 0
+	if !r.exhausted && int(r.sent) < r.config.MaxAttempts && take(r.budgets.Hedges, r.now) {
+		r.send(true)
+	}
+}
+
+func (r *Retrier) send(hedge bool) {
+	earlier := r.sent
+	r.attempts[r.sent] = attempt{due: r.now + r.config.StallTimeout, interval: r.config.StallTimeout}
+	r.sent++
+	r.add(Send{Attempt: r.sent, Exclude: earlier, Hedge: hedge})
+}
+
+// wake asks for a timer unless one is set that comes early enough.
+func (r *Retrier) wake() {
+	at := r.config.Deadline
+	if r.hedgeAt > 0 {
+		at = min(at, r.hedgeAt)
+	}
+	for i := range r.sent {
+		if a := &r.attempts[i]; a.open() {
+			at = min(at, a.due)
+		}
+	}
+	if r.wakeAt == 0 || at < r.wakeAt {
+		r.wakeAt = at
+		r.add(Wake{At: at})
+	}
+}
+
+// end finishes without a complete answer. The given reason stands in for
+// refusals only if there were none.
+func (r *Retrier) end(reason Reason) {
+	if !r.provenNotRun() {
+		if reason == "" {
+			reason = ReasonNoAnswer
+		}
+		r.finish(Finish{Outcome: OutcomeUnknown, Reason: reason})
+		return
+	}
+	if r.reason != "" {
+		reason = r.reason
+	}
+	r.finish(Finish{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: r.retryAfter})
+}
+
+func (r *Retrier) finish(f Finish) {
+	for i := range r.sent {
+		if r.attempts[i].fate == pending {
+			r.add(CancelAttempt{Attempt: i + 1})
+		}
+	}
+	r.finished = true
+	r.add(f)
+}
+
+func (r *Retrier) add(action Action) { r.actions = append(r.actions, action) }
+
+func take(budget Taker, now timer.Millis) bool { return budget != nil && budget.Take(now) }
