--- a/internal/coordination/holder/configuration.go
+++ b/internal/coordination/holder/configuration.go
@@ -12,6 +12,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -99,6 +100,18 @@
 	return c.reducer.Audit(limit), c.reducer.OldestAudited()
 }
 
+// Fate returns what became of a change; found is false if it was not folded or
+// has left the audit trail.
+func (c *Configuration) Fate(id identifier.ChangeID) (entry reducer.AuditEntry, found bool) {
+	entries, _ := c.Audit(math.MaxInt)
+	for _, entry := range entries {
+		if entry.ChangeID == id {
+			return entry, true
+		}
+	}
+	return reducer.AuditEntry{}, false
+}
+
 // Diverged returns the number of checkpoints that contradict the own state.
 func (c *Configuration) Diverged() int {
 	c.mu.Lock()
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -105,7 +105,7 @@
 
 func (d *daemon) newAnnouncer() *announcer.Announcer {
 	return announcer.New(announcer.Config{
-		Log: d.log, Peers: announcer.PeerClient{Client: d.peers.Client}, Clock: d.clock, Rand: newRand(),
+		Log: d.log, Peers: announcer.PeerClients{Client: d.peers.Client}, Clock: d.clock, Rand: newRand(),
 		Retention: d.settings.Log.Retention, Standing: d.standing,
 		Incarnate: func(above identifier.Incarnation) identifier.Incarnation {
 			return max(above+1, newIncarnation(d.clock.Wall()))
@@ -115,11 +115,16 @@
 	})
 }
 
+// standing tells the announcer what the membership says of this daemon.
 func (d *daemon) standing(incarnation identifier.Incarnation) announcer.Standing {
 	var standing announcer.Standing
 	d.membership.Read(func(t *tracker.Tracker) {
-		standing.Present = t.Present(incarnation)
-		standing.Above, standing.Removed = t.Removed(incarnation)
+		standing.Members = t.DomainLen(d.settings.FailureDomain)
+		standing.Present = t.Present(d.settings.Node, incarnation)
+		standing.Above, standing.Removed = t.Removed(d.settings.Node, incarnation)
+		if entry, found := t.Lookup(d.settings.Node); found {
+			standing.Revision, standing.RenewedOffset = entry.Revision, entry.RenewedOffset
+		}
 		_, standing.Reader = t.ReaderRank(d.settings.Node)
 		for _, m := range t.Relays(d.settings.FailureDomain, d.settings.Node) {
 			standing.Readers = append(standing.Readers, m.Peer)
@@ -172,7 +177,7 @@
 func (d *daemon) sendSuspicion(suspect tracker.Suspect) {
 	var readers []tracker.Member
 	d.membership.Read(func(t *tracker.Tracker) { readers = t.Readers(d.settings.FailureDomain) })
-	client := announcer.PeerClient{Client: d.peers.Client}
+	client := announcer.PeerClients{Client: d.peers.Client}
 	for _, m := range readers {
 		if m.Instance == d.settings.Node {
 			d.observe(tracker.Suspected{Suspect: suspect})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/manager"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/prober"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -55,6 +56,7 @@
 	announcer     *announcer.Announcer
 	followers     map[appender.Stream]*follower.Follower
 	spread        *quarantineSpread
+	publisher     manager.Publisher
 
 	mu       sync.Mutex
 	revision uint32
@@ -103,11 +105,12 @@
 		measuring: receiver.NewMeasuring(clock),
 	}
 	d.spread = newQuarantineSpread(d)
+	d.publisher = simplePublisher{d}
 	d.claimer = d.newClaimer()
 	d.followers = d.newFollowers()
 	d.announcer = d.newAnnouncer()
 	d.admission = receiver.NewAdmission(receiver.AdmissionConfig{
-		Clock: clock, FailureDomain: settings.FailureDomain, View: d.configuration.View,
+		Clock: clock, FailureDomain: settings.FailureDomain, Configuration: d.configuration,
 		Measuring: d.measuring, MaxAnswerBytes: int(settings.Limits.BodyBytes),
 		Alone: d.alone, Spread: d.spread.add, Announced: d.announced, Logger: logger,
 	})
--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
@@ -19,13 +20,16 @@
 	backendConnectTimeout = timer.Second
 	// backendMaxIdle is shorter than the idle timeout of common HTTP servers.
 	backendMaxIdle = 1500 * timer.Millis(1)
+	// configurationWait bounds the wait for a configuration version that the
+	// sender of an attempt has and this daemon has not.
+	configurationWait = 300 * timer.Millis(1)
 )
 
 // AdmissionConfig holds what admission needs.
 type AdmissionConfig struct {
 	Clock          timer.Clock
 	FailureDomain  identifier.FailureDomain
-	View           func() *holder.View
+	Configuration  *holder.Configuration
 	Measuring      *Measuring
 	MaxAnswerBytes int
 	// Alone tells whether this daemon is the only member.
@@ -79,6 +83,36 @@
 	}
 }
 
+// awaitVersion waits a moment for a configuration that the sender already has.
+// Most changes reach every daemon within that time, so that few attempts are
+// refused while a change spreads.
+func (a *Admission) awaitVersion(attempt encoder.Attempt) encoder.Attempt {
+	if attempt.Version <= a.config.Configuration.View().Version {
+		return attempt
+	}
+	started := a.config.Clock.Now()
+	timeout := time.NewTimer(min(configurationWait, attempt.Remaining).Duration())
+	defer timeout.Stop()
+	for {
+		changed := a.config.Configuration.Changed()
+		if a.config.Configuration.View().Version >= attempt.Version {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timeout.C:
+		}
+		break
+	}
+	now := a.config.Clock.Now()
+	attempt.Remaining -= now - started
+	a.mu.Lock()
+	a.refresh(now)
+	a.mu.Unlock()
+	return attempt
+}
+
 // admit waits until an attempt may start or is refused.
 func (a *Admission) admit(attempt encoder.Attempt, fingerprint identifier.Fingerprint) decision {
 	a.mu.Lock()
@@ -192,7 +226,7 @@
 
 // refresh passes the limits and the state of the failure domain in force.
 func (a *Admission) refresh(now timer.Millis) {
-	view := a.config.View()
+	view := a.config.Configuration.View()
 	wall := a.config.Clock.Wall()
 	limits, found := view.Schedule.Limits(wall, a.announcement.Service)
 	if found {
--- a/internal/transport/receiver/forward.go
+++ b/internal/transport/receiver/forward.go
@@ -22,6 +22,7 @@
 		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}.Write(ctx)
 		return
 	}
+	attempt = a.awaitVersion(attempt)
 	fingerprint := identifier.NewFingerprint(string(ctx.Method()), string(ctx.RequestURI()), ctx.Request.Body())
 	d := a.admit(attempt, fingerprint)
 	if !d.start {
--- a/internal/transport/responder/responder.go
+++ b/internal/transport/responder/responder.go
@@ -17,13 +17,13 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"github.com/zeebo/errs"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1/peerv1connect"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
-	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -54,18 +54,13 @@
 	Snapshot() (*peerv1.GetSnapshotResponse, error)
 }
 
-// Announcer takes membership records of other daemons.
-type Announcer interface {
-	Announce(ctx context.Context, records []tracker.Record) (appended bool, err error)
-}
-
 // Config holds what the handlers need.
 type Config struct {
 	Instance    identifier.InstanceID
 	Incarnation identifier.Incarnation
 	Followers   map[appender.Stream]*follower.Follower
 	Snapshots   Snapshots
-	Announcer   Announcer
+	Announcer   *announcer.Announcer
 	Admission   Admission
 	Keys        Keys
 	Version     func() identifier.Version
@@ -119,19 +114,11 @@
 
 // Announce takes membership records.
 func (s *service) Announce(ctx context.Context, request *peerv1.AnnounceRequest) (*peerv1.AnnounceResponse, error) {
-	records := make([]tracker.Record, 0, len(request.Records))
-	for _, text := range request.Records {
-		record, err := tracker.DecodeRecord(text)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
-		}
-		records = append(records, record)
-	}
-	appended, err := s.r.config.Announcer.Announce(ctx, records)
+	answer, err := announcer.Serve(ctx, s.r.config.Announcer, request)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return &peerv1.AnnounceResponse{Appended: appended}, nil
+	return answer, nil
 }
 
 // Ping answers at once.
