--- /dev/null
+++ b/internal/transport/receiver/harness_test.go
@@ -0,0 +1,206 @@
+package receiver_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/limiter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/responder"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const sheetText = `{
+  "format": 1, "deployment": "test", "measuring_budget": {"messages_per_second": 1000, "bytes_per_second": 1000000},
+  "failure_domains": [{"name": "aarhus", "region": "jutland", "return_ramp_ms": 1000}, {"name": "vejle", "region": "jutland", "return_ramp_ms": 1000}],
+  "instance_classes": [{"name": "standard", "slots": 20, "connections": 240, "cold_limit": 20, "ramp_completions": 1}],
+  "services": [{"name": "materials", "path_prefixes": ["/"], "instance_class": "standard", "expected_load_per_second": 10,
+    "max_in_flight": 18, "max_queue": 40, "default_timeout_ms": 2000, "max_timeout_ms": 5000,
+    "retry_budget_percent": 50, "hedge_percent": 0, "idempotent": [{"method": "GET", "path_prefix": "/"}],
+    "deduplication_window_ms": 60000, "quarantine_ms": 60000, "unbounded": false}]
+}`
+
+// noKeys refuses every keyed request.
+type noKeys struct{ responder.Keys }
+
+func (noKeys) Claim(timer.Millis, deduplicator.Request) (deduplicator.Verdict, []byte, bool) {
+	return 0, nil, false
+}
+func (noKeys) Settle(deduplicator.Request, deduplicator.Outcome, []byte) {}
+
+// instance is a backend server with its admission on loopback sockets.
+type instance struct {
+	member    tracker.Member
+	admission *receiver.Admission
+}
+
+// world is one ingress in front of instances.
+type world struct {
+	clock         timer.Clock
+	configuration *holder.Configuration
+	membership    *holder.Membership
+	measuring     *receiver.Measuring
+	ingress       *receiver.Ingress
+	address       string
+	instances     []*instance
+	stop          chan struct{}
+	stopped       sync.WaitGroup
+}
+
+// newWorld starts an ingress and one instance for each backend address.
+func newWorld(t testing.TB, backends ...string) *world {
+	t.Helper()
+	w := &world{
+		clock: timer.NewSystem(), configuration: holder.NewConfiguration(slog.New(slog.DiscardHandler)),
+		membership: holder.NewMembership(tracker.Config{Self: "caller", FailureDomain: "aarhus", Retention: timer.Hour}),
+		stop:       make(chan struct{}),
+	}
+	w.measuring = receiver.NewMeasuring(w.clock)
+	w.measuring.SetBudget(limiter.Budget{MessagesPerSecond: 1000, BytesPerSecond: 1_000_000})
+	w.publish(t, sheetText)
+	for i, backend := range backends {
+		w.add(t, i, backend)
+	}
+	peers := receiver.NewPeers(1 << 20)
+	w.ingress = receiver.NewIngress(receiver.IngressConfig{
+		Self: "caller", Incarnation: 77, FailureDomain: "aarhus", Clock: w.clock,
+		View: w.configuration.View, Membership: w.membership, Peers: peers, Claimer: noKeys{},
+		Probe: func(tracker.Member) {}, MaxDepth: 8, MaxInFlight: 1000,
+		Policy: receiver.PolicyPowerOfChoices, Logger: slog.New(slog.DiscardHandler),
+	})
+	w.address = serve(t, w.ingress.Serve)
+	w.stopped.Go(w.tick)
+	t.Cleanup(func() { close(w.stop); w.stopped.Wait(); peers.CloseIdle() })
+	return w
+}
+
+func (w *world) tick() {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+			for _, i := range w.instances {
+				i.admission.Tick()
+			}
+			w.ingress.Tick()
+		}
+	}
+}
+
+func (w *world) publish(t testing.TB, text string) {
+	t.Helper()
+	sheet, err := parser.Decode([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := w.configuration.View()
+	payload, err := json.Marshal(reducer.Change{
+		Kind: reducer.KindChange, ID: identifier.ChangeID(fmt.Sprint("c", view.Version)), BaseVersion: view.Version,
+		Operator: "planner", PublishedAt: w.clock.Wall(), Edits: parser.Diff(view.Sheet, sheet),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	folded, found := w.configuration.Folded()
+	next := identifier.Offset(0)
+	if found {
+		next = folded + 1
+	}
+	if err := w.configuration.Apply(next, payload); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (w *world) add(t testing.TB, n int, backend string) {
+	t.Helper()
+	admission := receiver.NewAdmission(receiver.AdmissionConfig{
+		Clock: w.clock, FailureDomain: "aarhus", Configuration: w.configuration, Measuring: w.measuring,
+		MaxAnswerBytes: 1 << 20, Alone: func() bool { return true },
+		Spread: func(service identifier.ServiceName, entries []quarantiner.Entry) {
+			for _, i := range w.instances {
+				i.admission.Remote(service, entries)
+			}
+		},
+		Announced: func(receiver.Announcement) {}, Logger: slog.New(slog.DiscardHandler),
+	})
+	answers := responder.New(responder.Config{Admission: admission, Keys: noKeys{}, Announcer: new(announcer.Announcer)})
+	i := &instance{admission: admission, member: tracker.Member{
+		Instance: identifier.InstanceID(fmt.Sprint("materials-", n)), Incarnation: 1, Service: "materials",
+		FailureDomain: "aarhus", Region: "jutland", Class: "standard", Slots: 20, State: tracker.Ready,
+		Peer: identifier.Address(serve(t, answers.Handler(admission.Serve))),
+	}}
+	i.announce(backend, 1)
+	admission.Tick()
+	w.instances = append(w.instances, i)
+	payload, err := tracker.EncodeBatch([]tracker.Record{tracker.Join{Member: i.member}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.membership.Apply(identifier.Offset(n), payload); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (i *instance) announce(backend string, incarnation identifier.Incarnation) {
+	i.admission.Announce(receiver.Announcement{
+		Service: "materials", Address: identifier.Address(backend), Incarnation: incarnation,
+		Slots: 20, Connections: 100, State: tracker.Ready,
+	})
+}
+
+func serve(t testing.TB, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: handler, CloseOnShutdown: true}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome encoder.Outcome
+	reason  encoder.Reason
+	body    string
+}
+
+func (w *world) send(t testing.TB, method, path string, timeout timer.Millis) answer {
+	t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + w.address + path)
+	request.Header.Set(encoder.HeaderTimeout, fmt.Sprint(int64(timeout)))
+	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	if err := client.DoTimeout(request, response, timeout.Duration()+time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return answer{
+		status: response.StatusCode(), outcome: encoder.Outcome(response.Header.Peek(encoder.HeaderOutcome)),
+		reason: encoder.Reason(response.Header.Peek(encoder.HeaderReason)), body: string(response.Body()),
+	}
+}
