Give new services a retry and eject instances that take nothing

The focused failure tests over sockets found two faults. A route began with empty retry budgets, so the first refused attempt of a service was never retried. And an instance whose admission answers that its backend server refuses connections stayed in the selection.

--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -16,7 +16,7 @@
 // Reason explains an outcome other than Complete.
 type Reason string
 
-// Reasons that ingress gives. Admission gives those of its state machine.
+// Reasons that ingress gives. Admission adds those of its state machine.
 const (
 	ReasonBadRequest     Reason = "bad_request"
 	ReasonNoService      Reason = "no_service"
@@ -38,3 +38,10 @@
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonShed           Reason = "shed"
 )
+
+// Reasons of admission that mean that an instance takes no request at all.
+const (
+	ReasonDomainOut   Reason = "domain_out"
+	ReasonIsolated    Reason = "isolated"
+	ReasonUnavailable Reason = "unavailable"
+)
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -230,7 +230,9 @@
 	}
 }
 
-func (d *daemon) report(instance identifier.InstanceID, load encoder.Load) { d.ingress.Report(instance, load) }
+func (d *daemon) report(instance identifier.InstanceID, load encoder.Load) {
+	d.ingress.Report(instance, load)
+}
 
 // claimants lists the daemons that can own key shards.
 func (d *daemon) claimants() []deduplicator.Member {
--- a/internal/transport/receiver/exchange.go
+++ b/internal/transport/receiver/exchange.go
@@ -171,9 +171,11 @@
 	now := i.config.Clock.Now()
 	route.ended(now, s.member.Instance, latency, outcome)
 	if status == forwarder.Refused {
-		route.eject(now, s.member.Instance)
 		i.config.Membership.Step(now, tracker.Refused{Instance: s.member.Instance})
 	}
+	if refused, isRefusal := event.(retrier.NotRun); isRefusal && takesNothing(encoder.Reason(refused.Reason)) {
+		route.eject(now, s.member.Instance)
+	}
 	if load := response.Header.Peek(encoder.HeaderLoad); len(load) > 0 && status == forwarder.Answered {
 		if parsed, err := encoder.ParseLoad(load); err == nil {
 			route.report(now, s.member.Instance, parsed)
@@ -186,6 +188,16 @@
 	x.events <- ended{attempt: number, event: event, response: response}
 }
 
+// takesNothing tells whether a refusal means that the instance takes no request
+// at all for now, unlike one that is overloaded.
+func takesNothing(reason encoder.Reason) bool {
+	switch reason {
+	case encoder.ReasonConnection, encoder.ReasonDraining, encoder.ReasonDomainOut, encoder.ReasonIsolated, encoder.ReasonUnavailable:
+		return true
+	}
+	return false
+}
+
 // judge tells what became of an attempt. An answer counts only if it names the
 // attempt, so that a late answer on a reused connection cannot be taken for it.
 func (x *exchange) judge(number retrier.Attempt, s sent, status forwarder.Result, response *fasthttp.Response) (retrier.Event, selector.Result) {
--- /dev/null
+++ b/internal/transport/receiver/failure_test.go
@@ -0,0 +1,260 @@
+package receiver_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func TestReceiver(t *testing.T) { tester.RunSpecs(t, "receiver") }
+
+// backend counts runs by path and misbehaves by path.
+type backend struct {
+	address string
+	mu      sync.Mutex
+	runs    map[string]int
+	crashed atomic.Bool
+}
+
+func startBackend() *backend {
+	b := &backend{runs: map[string]int{}}
+	b.address = serve(GinkgoTB(), b.handle)
+	return b
+}
+
+func (b *backend) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	b.mu.Lock()
+	b.runs[path]++
+	b.mu.Unlock()
+	switch {
+	case strings.HasPrefix(path, "/close"), strings.HasPrefix(path, "/crash"):
+		_ = ctx.Conn().Close()
+	case strings.HasPrefix(path, "/slow"):
+		time.Sleep(400 * time.Millisecond)
+	case strings.HasPrefix(path, "/partial"):
+		_, _ = io.WriteString(ctx.Conn(), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		_ = ctx.Conn().Close()
+	case strings.HasPrefix(path, "/shed"):
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(encoder.HeaderOutcome, string(encoder.NotRun))
+	}
+	ctx.SetBodyString("answer to " + path)
+}
+
+func runs(path string, backends ...*backend) int {
+	total := 0
+	for _, b := range backends {
+		b.mu.Lock()
+		total += b.runs[path]
+		b.mu.Unlock()
+	}
+	return total
+}
+
+// link relays TCP connections and can make the open ones silent.
+type link struct {
+	address string
+	mu      sync.Mutex
+	silent  []*atomic.Bool
+}
+
+func startLink(target string) *link {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	l := &link{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			l.relay(conn, target)
+		}
+	}()
+	return l
+}
+
+func (l *link) relay(conn net.Conn, target string) {
+	other, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	silent := new(atomic.Bool)
+	l.mu.Lock()
+	l.silent = append(l.silent, silent)
+	l.mu.Unlock()
+	for _, pair := range [][2]net.Conn{{conn, other}, {other, conn}} {
+		go func() {
+			defer pair[1].Close()
+			buf := make([]byte, 4096)
+			for {
+				n, err := pair[0].Read(buf)
+				if err != nil {
+					return
+				}
+				if silent.Load() {
+					continue
+				}
+				if _, err := pair[1].Write(buf[:n]); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// goSilent drops what comes over the connections that are open now.
+func (l *link) goSilent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.silent {
+		s.Store(true)
+	}
+}
+
+var _ = Describe("a request under failure", func() {
+	cases := []struct {
+		name    string
+		method  string
+		path    string
+		outcome encoder.Outcome
+		runs    int
+	}{
+		{"whole answer", "POST", "/orders", encoder.Complete, 1},
+		{"backend server closes after reading a request that may not be repeated", "POST", "/close", encoder.Unknown, 1},
+		{"backend server closes after reading an idempotent request", "GET", "/close", encoder.Unknown, 2},
+		{"answer cut short", "POST", "/partial", encoder.Unknown, 1},
+		{"answer after the deadline", "POST", "/slow", encoder.Unknown, 1},
+		{"backend servers shed and say so", "POST", "/shed", encoder.NotRun, 2},
+	}
+	for _, c := range cases {
+		It("guards against a second run, a partial answer and a wrong outcome: "+c.name, func() {
+			first, second := startBackend(), startBackend()
+			w := newWorld(GinkgoTB(), first.address, second.address)
+			got := w.send(GinkgoTB(), c.method, c.path, 200)
+			Expect(got.outcome).To(Equal(c.outcome))
+			if c.outcome == encoder.Complete {
+				Expect(got.body).To(Equal("answer to " + c.path))
+			}
+			Expect(runs(c.path, first, second)).To(Equal(c.runs))
+		})
+	}
+
+	It("guards against refusing a request when one backend server refuses connections", func() {
+		dead, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := dead.Addr().String()
+		Expect(dead.Close()).To(Succeed())
+		good := startBackend()
+		w := newWorld(GinkgoTB(), address, good.address)
+		for range 20 {
+			Expect(w.send(GinkgoTB(), "POST", "/orders", timer.Second).outcome).To(Equal(encoder.Complete))
+		}
+		Expect(runs("/orders", good)).To(Equal(20))
+	})
+
+	It("guards against a silent connection that costs a timeout or a second run", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		l := startLink(string(w.instances[0].member.Peer))
+		w.replacePeer(0, identifier.Address(l.address))
+		Expect(w.send(GinkgoTB(), "POST", "/first", timer.Second).outcome).To(Equal(encoder.Complete))
+		l.goSilent()
+		other := startBackend()
+		w.add(GinkgoTB(), 2, other.address)
+		time.Sleep(200 * time.Millisecond)
+		for i := range 10 {
+			path := fmt.Sprint("/orders/", i)
+			Expect(w.send(GinkgoTB(), "POST", path, 2*timer.Second).outcome).To(Equal(encoder.Complete))
+			Expect(runs(path, only, other)).To(Equal(1))
+		}
+	})
+
+	It("guards against an answer that comes late being given to the next request", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		for i := range 5 {
+			Expect(w.send(GinkgoTB(), "POST", fmt.Sprint("/slow/", i), 100).outcome).To(Equal(encoder.Unknown))
+			path := fmt.Sprint("/orders/", i)
+			Expect(w.send(GinkgoTB(), "POST", path, timer.Second).body).To(Equal("answer to " + path))
+		}
+	})
+
+	It("guards against new work in a failure domain that is out of service", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		Expect(w.send(GinkgoTB(), "POST", "/orders", timer.Second).outcome).To(Equal(encoder.Complete))
+		w.publish(GinkgoTB(), strings.Replace(sheetText, `"region": "jutland", "return_ramp_ms": 1000}, {`,
+			`"region": "jutland", "out": [{"from": "2026-01-01T00:00:00Z"}], "return_ramp_ms": 1000}, {`, 1))
+		got := w.send(GinkgoTB(), "POST", "/orders", timer.Second)
+		Expect(got.outcome).To(Equal(encoder.NotRun))
+		Expect(runs("/orders", only)).To(Equal(1))
+	})
+
+	It("guards against a start in a failure domain that is out when the sender does not know it yet", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		w.publish(GinkgoTB(), strings.Replace(sheetText, `"region": "jutland", "return_ramp_ms": 1000}, {`,
+			`"region": "jutland", "out": [{"from": "2026-01-01T00:00:00Z"}], "return_ramp_ms": 1000}, {`, 1))
+		time.Sleep(100 * time.Millisecond)
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://" + string(w.instances[0].member.Peer) + "/orders")
+		encoder.Attempt{ID: identifier.AttemptID{Origin: 5, Sequence: 1}, Remaining: 500, Version: 1}.Encode(&request.Header)
+		Expect(fasthttp.Do(request, response)).To(Succeed())
+		Expect(string(response.Header.Peek(encoder.HeaderReason))).To(Equal("domain_out"))
+		Expect(runs("/orders", only)).To(Equal(0))
+	})
+
+	It("guards against new work at a backend server that is leaving", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		w.instances[0].admission.Announce(receiver.Announcement{
+			Service: "materials", Address: identifier.Address(only.address), Incarnation: 1, Slots: 20, Connections: 100, State: tracker.Draining,
+		})
+		got := w.send(GinkgoTB(), "POST", "/orders", timer.Second)
+		Expect(got).To(Equal(answer{status: 503, outcome: encoder.NotRun, reason: "draining", body: got.body}))
+		Expect(runs("/orders", only)).To(Equal(0))
+	})
+
+	It("guards against a request that crashes every backend server that runs it", func() {
+		first, second := startBackend(), startBackend()
+		w := newWorld(GinkgoTB(), first.address, second.address)
+		for range 12 {
+			got := w.send(GinkgoTB(), "POST", "/crash", timer.Second)
+			Expect(got.outcome).NotTo(Equal(encoder.Complete))
+			w.instances[0].announce(first.address, identifier.Incarnation(w.clock.Wall()))
+			w.instances[1].announce(second.address, identifier.Incarnation(w.clock.Wall()))
+			time.Sleep(60 * time.Millisecond)
+		}
+		Expect(runs("/crash", first, second)).To(BeNumerically("<=", 2))
+		Expect(w.send(GinkgoTB(), "POST", "/orders", timer.Second).outcome).To(Equal(encoder.Complete))
+	})
+
+	It("guards against calls that nest without end", func() {
+		w := newWorld(GinkgoTB(), startBackend().address)
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://" + w.address + "/orders")
+		request.Header.Set(encoder.HeaderDepth, "8")
+		Expect(fasthttp.Do(request, response)).To(Succeed())
+		Expect(string(response.Header.Peek(encoder.HeaderReason))).To(Equal(string(encoder.ReasonTooDeep)))
+	})
+})
--- a/internal/transport/receiver/harness_test.go
+++ b/internal/transport/receiver/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -58,6 +59,7 @@
 	measuring     *receiver.Measuring
 	ingress       *receiver.Ingress
 	address       string
+	mu            sync.Mutex
 	instances     []*instance
 	stop          chan struct{}
 	stopped       sync.WaitGroup
@@ -98,7 +100,7 @@
 		case <-w.stop:
 			return
 		case <-ticker.C:
-			for _, i := range w.instances {
+			for _, i := range w.all() {
 				i.admission.Tick()
 			}
 			w.ingress.Tick()
@@ -106,6 +108,12 @@
 	}
 }
 
+func (w *world) all() []*instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.instances)
+}
+
 func (w *world) publish(t testing.TB, text string) {
 	t.Helper()
 	sheet, err := parser.Decode([]byte(text))
@@ -136,7 +144,7 @@
 		Clock: w.clock, FailureDomain: "aarhus", Configuration: w.configuration, Measuring: w.measuring,
 		MaxAnswerBytes: 1 << 20, Alone: func() bool { return true },
 		Spread: func(service identifier.ServiceName, entries []quarantiner.Entry) {
-			for _, i := range w.instances {
+			for _, i := range w.all() {
 				i.admission.Remote(service, entries)
 			}
 		},
@@ -150,7 +158,9 @@
 	}}
 	i.announce(backend, 1)
 	admission.Tick()
+	w.mu.Lock()
 	w.instances = append(w.instances, i)
+	w.mu.Unlock()
 	payload, err := tracker.EncodeBatch([]tracker.Record{tracker.Join{Member: i.member}})
 	if err != nil {
 		t.Fatal(err)
@@ -204,3 +214,17 @@
 		reason: encoder.Reason(response.Header.Peek(encoder.HeaderReason)), body: string(response.Body()),
 	}
 }
+
+// replacePeer gives an instance another peer address.
+func (w *world) replacePeer(n int, address identifier.Address) {
+	m := w.instances[n].member
+	m.Peer, m.Revision = address, m.Revision+1
+	payload, err := tracker.EncodeBatch([]tracker.Record{tracker.Join{Member: m}})
+	if err == nil {
+		err = w.membership.Apply(identifier.Offset(len(w.instances)), payload)
+	}
+	if err != nil {
+		panic(err)
+	}
+	w.instances[n].member = m
+}
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -144,7 +144,7 @@
 		timeout = service.DefaultTimeout
 	}
 	r := &request{
-		service: service, route: i.route(service.Name, now), version: view.Version,
+		service: service, route: i.route(service, now), version: view.Version,
 		deadline: now + min(timeout, service.MaxTimeout), depth: depth + 1,
 		idempotent: service.Idempotent(string(ctx.Method()), path),
 		key:        identifier.IdempotencyKey(header.Peek(encoder.HeaderIdempotencyKey)),
@@ -156,21 +156,21 @@
 	return r, nil
 }
 
-func (i *Ingress) route(service identifier.ServiceName, now timer.Millis) *route {
+func (i *Ingress) route(service *parser.Service, now timer.Millis) *route {
 	i.mu.RLock()
-	r, found := i.routes[service]
+	r, found := i.routes[service.Name]
 	i.mu.RUnlock()
 	if found {
 		return r
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if r, found = i.routes[service]; found {
+	if r, found = i.routes[service.Name]; found {
 		return r
 	}
-	r = newRoute(routeConfig{self: i.config.Self, domain: i.config.FailureDomain, policy: i.config.Policy}, now)
-	i.refresh(now, service, r)
-	i.routes[service] = r
+	r = newRoute(routeConfig{self: i.config.Self, domain: i.config.FailureDomain, policy: i.config.Policy}, service, now)
+	i.refresh(now, service.Name, r)
+	i.routes[service.Name] = r
 	return r
 }
 
--- a/internal/transport/receiver/route.go
+++ b/internal/transport/receiver/route.go
@@ -60,15 +60,15 @@
 	usedAt  timer.Millis
 }
 
-func newRoute(config routeConfig, now timer.Millis) *route {
+func newRoute(config routeConfig, service *parser.Service, now timer.Millis) *route {
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	probing := selector.NewPowerOfChoices(selector.Config{Self: config.self, Domain: config.domain}, seed)
 	r := &route{
 		probing: probing,
 		members: map[identifier.InstanceID]tracker.Member{},
 		wanted:  map[identifier.InstanceID]timer.Millis{},
-		retries: retrier.NewBudget(retrier.BudgetConfig{}, now),
-		hedges:  retrier.NewBudget(retrier.BudgetConfig{}, now),
+		retries: retrier.NewBudget(retrier.BudgetConfig{Percent: int(service.RetryBudgetPercent)}, now),
+		hedges:  retrier.NewBudget(retrier.BudgetConfig{Percent: int(service.HedgePercent)}, now),
 		queries: retrier.NewBudget(retrier.BudgetConfig{Percent: queryPercent}, now),
 	}
 	switch config.policy {
