Add the fold of the configuration stream

Daemons read the same records but start at different places, so the fold must depend on the records alone. The bounds of recent ids (2,000) and of the audit trail (1,000) are therefore constants, and no text of the standard library is folded.

--- /dev/null
+++ b/internal/state/reducer/audit.go
@@ -0,0 +1,92 @@
+package reducer
+
+import (
+	"fmt"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Bounds of one entry. They keep 1,000 entries within about 9 MB when every
+// text has its full length.
+const (
+	auditEdits    = 16
+	auditFindings = 8
+	auditLine     = 200
+)
+
+// AuditResult says what became of a record.
+type AuditResult string
+
+// Results in the audit trail.
+const (
+	ResultAccepted    AuditResult = "accepted"
+	ResultRejected    AuditResult = "rejected"
+	ResultUndecodable AuditResult = "undecodable"
+)
+
+// AuditEntry tells who changed what, from which version and with what result.
+// An undecodable record has only Offset, Version, Result and Reason.
+type AuditEntry struct {
+	Offset      identifier.Offset       `json:"offset"`
+	ChangeID    identifier.ChangeID     `json:"change_id,omitempty"`
+	Operator    identifier.OperatorName `json:"operator,omitempty"`
+	PublishedAt timer.Millis            `json:"published_at_ms,omitempty"`
+	BaseVersion identifier.Version      `json:"base_version"`
+	// Version is the one in force after the record.
+	Version  identifier.Version `json:"version"`
+	Result   AuditResult        `json:"result"`
+	Reason   Reason             `json:"reason,omitempty"`
+	Comment  string             `json:"comment,omitempty"`
+	Findings []reporter.Finding `json:"findings,omitempty"`
+	// Edits describes the first edits, one line each.
+	Edits []string `json:"edits,omitempty"`
+}
+
+func newAuditEntry(offset identifier.Offset, change Change, findings []reporter.Finding) AuditEntry {
+	entry := AuditEntry{
+		Offset:      offset,
+		ChangeID:    change.ID,
+		Operator:    identifier.OperatorName(clip(string(change.Operator), maxIDLength)),
+		PublishedAt: change.PublishedAt,
+		BaseVersion: change.BaseVersion,
+		Comment:     clip(change.Comment, maxCommentLength),
+	}
+	for _, finding := range findings[:min(len(findings), auditFindings)] {
+		entry.Findings = append(entry.Findings, reporter.Finding{
+			Place:  clip(finding.Place, auditLine),
+			Value:  clip(finding.Value, auditLine),
+			Reason: clip(finding.Reason, auditLine),
+		})
+	}
+	for i, edit := range change.Edits {
+		if i == auditEdits {
+			entry.Edits = append(entry.Edits, fmt.Sprintf("and %d more", len(change.Edits)-i))
+			break
+		}
+		entry.Edits = append(entry.Edits, clip(edit.String(), auditLine))
+	}
+	return entry
+}
+
+// Audit returns up to limit entries, newest first. The entries must not be
+// modified.
+func (r *Reducer) Audit(limit int) []AuditEntry {
+	entries := r.trail.items
+	count := max(0, min(limit, len(entries)))
+	newest := make([]AuditEntry, 0, count)
+	for i := range count {
+		newest = append(newest, entries[len(entries)-1-i])
+	}
+	return newest
+}
+
+// OldestAudited returns the offset from which on the trail is complete. While
+// fewer entries are kept than the bound allows, none was dropped and that is 0.
+func (r *Reducer) OldestAudited() identifier.Offset {
+	if len(r.trail.items) < r.trail.limit {
+		return 0
+	}
+	return r.trail.items[0].Offset
+}
