Estimate the hedge delay and the stall timeout

The design hedges after the p95 latency and queries after 250 ms or twice the p99, and nothing computed either.

TestLatencies fails with these planted faults: no decay, the neighbouring rank, and the lower bound of the bucket in place of the upper one.

--- a/internal/state/retrier/retrier.go
+++ b/internal/state/retrier/retrier.go
@@ -7,7 +7,11 @@
 //
 // # Usage
 //
-//	request := retrier.New(retrier.Config{Deadline: now + timeout, MaxAttempts: 3}, budgets)
+//	request := retrier.New(retrier.Config{
+//		Deadline:     now + timeout,
+//		MaxAttempts:  3,
+//		StallTimeout: latencies.StallTimeout(),
+//	}, budgets)
 //	for _, action := range request.Step(now, retrier.Begin{}) {
 //		switch a := action.(type) {
 //		case retrier.Send:
--- a/internal/state/retrier/retrier_test.go
+++ b/internal/state/retrier/retrier_test.go
@@ -1,10 +1,13 @@
 package retrier_test
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
@@ -131,6 +134,26 @@
 	})
 })
 
+// Guards against a hedge or stall delay that misses the true quantile by more
+// than a bucket, or keeps to old latencies.
+func TestLatencies(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		var l retrier.Latencies
+		micros := rapid.SliceOfN(rapid.IntRange(0, 1<<rapid.IntRange(4, 30).Draw(t, "scale")), 100, 400).Draw(t, "micros")
+		for i := range 2 * len(micros) {
+			now := timer.Millis(i/len(micros)) * 10 * timer.Minute
+			l.Observe(now, time.Duration(micros[i%len(micros)]+(1<<31)*(1-i/len(micros)))*time.Microsecond)
+		}
+		slices.Sort(micros)
+		n := len(micros)
+		p95, p99 := float64(micros[n-1-n*5/100])/1000, float64(micros[n-1-n/100])/1000
+		hedge, stall := float64(l.HedgeDelay()), float64(l.StallTimeout())
+		if hedge < p95 || hedge > 1.25*p95+1.01 || stall < 2*p99 || stall > max(250, 2.5*p99+2.02) {
+			t.Fatalf("hedge %v for %v, stall %v for %v", hedge, p95, stall, p99)
+		}
+	})
+}
+
 func BenchmarkHappyPath(b *testing.B) {
 	budget := retrier.NewBudget(retrier.BudgetConfig{Percent: 10}, 0)
 	budgets := retrier.Budgets{Retries: budget, Hedges: budget, Queries: budget}
