Shorten the tests of routing and strengthen two properties

TestRequests runs ten requests in each check, because a fence answer of "unknown" taken for proof was missed with one. It also checks the maximum of attempts. The spec for a lost failure domain is part of the spec for trials, which now ejects two instances. One test file holds the specs and properties of a package.

--- a/internal/state/limiter/limiter_test.go
+++ b/internal/state/limiter/limiter_test.go
@@ -30,73 +30,53 @@
 		Expect(l.Take(2000, limiter.Poll, 3, 0)).To(BeFalse())
 		Expect(l.Take(2000, limiter.Poll, 2, 0)).To(BeTrue())
 	})
-	cases := []struct {
-		rate int64
-		want int
-	}{{0, 0}, {1, 10}, {2, 20}, {3, 29}, {200, 1600}}
-	for _, c := range cases {
+	for _, c := range []struct{ rate, want int64 }{{0, 0}, {1, 10}, {2, 20}, {3, 29}, {200, 1600}} {
 		It("guards against a small budget that never fills", func() {
 			l := limiter.New(limiter.Budget{MessagesPerSecond: c.rate, BytesPerSecond: 1 << 20}, 0)
-			taken := 0
 			for now := timer.Millis(1); now <= 10*timer.Second; now++ {
-				if l.Take(now, limiter.ProbeSent, 1, 1) {
-					taken++
-				}
+				l.Take(now, limiter.ProbeSent, 1, 1)
 			}
-			Expect(taken).To(BeNumerically(">=", c.want))
+			Expect(l.Counters(limiter.ProbeSent).TakenMessages).To(BeNumerically(">=", c.want))
 		})
 	}
 })
 
-type taking struct {
+// amount is what was taken at a time, or what is allowed from a time on.
+type amount struct {
 	at              timer.Millis
 	messages, bytes int64
 }
 
-// drain takes one message after another until the first refusal, which presses
-// on the budget harder than random amounts do.
-func drain(l *limiter.Limiter, now timer.Millis, bytes int64) (total taking) {
-	for total.messages < 1000 && l.Take(now, limiter.ProbeSent, 1, bytes) {
-		total.messages++
-		total.bytes += bytes
-	}
-	return total
-}
-
 // Guards against a budget that is exceeded within some second, by bursts, by
 // borrowing, by half-taken pairs, by repeated changes of the budget, or by time
 // that jumps.
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rates, spans := rapid.Int64Range(0, 300), rapid.SampledFrom([]timer.Millis{0, 0, 1, 3, 40, 300, 3000, -500})
 	tester.Check(t, func(t *rapid.T) {
-		rates := rapid.Int64Range(0, 300)
-		now, latest := timer.Millis(0), timer.Millis(0)
+		var now, latest timer.Millis
+		var budgets, taken []amount
 		l := limiter.New(limiter.Budget{}, now)
-		var taken []taking
-		var budgets []taking // Each in force from its time on.
-		spans := rapid.SampledFrom([]timer.Millis{0, 0, 1, 3, 40, 300, 3000, -500})
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += spans.Draw(t, "span")
 			latest = max(latest, now)
 			if len(budgets) == 0 || rapid.IntRange(0, 30).Draw(t, "change") == 0 {
-				next := taking{latest, rates.Draw(t, "messages"), 50 * rates.Draw(t, "bytes")}
+				next := amount{latest, rates.Draw(t, "messages"), 50 * rates.Draw(t, "bytes")}
 				budgets = append(budgets, next)
 				l.SetBudget(now, limiter.Budget{MessagesPerSecond: next.messages, BytesPerSecond: next.bytes})
 			}
-			got := drain(l, now, rapid.Int64Range(0, 400).Draw(t, "size"))
-			got.at = latest
+			got, size := amount{at: latest}, rapid.Int64Range(0, 400).Draw(t, "size")
+			for got.messages < 1000 && l.Take(now, limiter.ProbeSent, 1, size) {
+				got.messages, got.bytes = got.messages+1, got.bytes+size
+			}
 			taken = append(taken, got)
 
-			var sum, bound taking
+			var sum, bound amount
 			for i := len(taken) - 1; i >= 0 && latest-taken[i].at < timer.Second; i-- {
-				sum.messages += taken[i].messages
-				sum.bytes += taken[i].bytes
+				sum.messages, sum.bytes = sum.messages+taken[i].messages, sum.bytes+taken[i].bytes
 			}
-			for i := len(budgets) - 1; i >= 0; i-- {
-				bound.messages = max(bound.messages, budgets[i].messages)
-				bound.bytes = max(bound.bytes, budgets[i].bytes)
-				if latest-budgets[i].at >= timer.Second {
-					break
-				}
+			for i, begun := len(budgets)-1, false; i >= 0 && !begun; i-- {
+				bound.messages, bound.bytes = max(bound.messages, budgets[i].messages), max(bound.bytes, budgets[i].bytes)
+				begun = latest-budgets[i].at >= timer.Second
 			}
 			if sum.messages > bound.messages || sum.bytes > bound.bytes {
 				t.Fatalf("%+v taken within a second of %+v", sum, bound)
--- a/internal/state/retrier/retrier_test.go
+++ b/internal/state/retrier/retrier_test.go
@@ -164,3 +164,229 @@
 		request.Step(5, retrier.Answered{Attempt: 1, Complete: true})
 	}
 }
+
+// What truly became of an attempt, as admission sees it. An unseen attempt may
+// still arrive and start; one that is not run never will.
+const (
+	unseen   = retrier.FenceUnknown
+	notRun   = retrier.FenceNotRun
+	running  = retrier.FenceRunning
+	finished = retrier.FenceFinished
+)
+
+// network is a request with the truth about its attempts and the events on
+// their way to it.
+type network struct {
+	*rapid.T
+	config              retrier.Config
+	request             *retrier.Retrier
+	now, latest, wakeAt timer.Millis
+	attempts            []retrier.FenceState
+	answers             map[retrier.Attempt]bool
+	queries             []retrier.Attempt
+	events              []retrier.Event
+	ended               bool
+}
+
+func (n *network) roll(sides int) int { return rapid.IntRange(0, sides-1).Draw(n.T, "roll") }
+
+func (n *network) step(event retrier.Event) {
+	n.latest = max(n.latest, n.now)
+	if _, timed := event.(retrier.Timer); timed {
+		n.wakeAt = 0
+	}
+	for _, action := range n.request.Step(n.now, event) {
+		if n.ended {
+			n.Fatalf("%#v after the end", action)
+		}
+		n.handle(action)
+	}
+	if len(n.attempts) > 0 && !n.ended && (n.wakeAt <= 0 || n.wakeAt > n.config.Deadline) {
+		n.Fatalf("no timer by the deadline after %#v", event)
+	}
+}
+
+func (n *network) handle(action retrier.Action) {
+	proven := true
+	for _, state := range n.attempts {
+		proven = proven && state == notRun
+	}
+	switch a := action.(type) {
+	case retrier.Send:
+		repeatable := n.config.Idempotent && !n.config.Keyed && !n.config.Solo
+		n.attempts = append(n.attempts, unseen)
+		if a != (retrier.Send{Attempt: retrier.Attempt(len(n.attempts)), Exclude: retrier.Attempt(len(n.attempts) - 1), Hedge: a.Hedge}) ||
+			n.latest >= n.config.Deadline || int(a.Attempt) > min(max(n.config.MaxAttempts, 1), 8) || !repeatable && !proven {
+			n.Fatalf("%#v sent at %d among %v", a, n.latest, n.attempts)
+		}
+	case retrier.Query:
+		n.queries = append(n.queries, a.Attempt)
+	case retrier.Wake:
+		n.wakeAt = a.At
+	case retrier.Finish:
+		n.ended = true
+		if a.Outcome == retrier.OutcomeNotRun && !proven || (a.Outcome == retrier.OutcomeComplete) != n.answers[a.Attempt] {
+			n.Fatalf("%#v with attempts %v and answers %v", a, n.attempts, n.answers)
+		}
+	}
+}
+
+// move lets one attempt make progress or lose its connection.
+func (n *network) move(number retrier.Attempt) {
+	state, choice := &n.attempts[number-1], n.roll(6)
+	switch {
+	case choice == 0:
+		n.events = append(n.events, retrier.Unknown{Attempt: number})
+	case *state == unseen && choice <= 2:
+		*state = running
+	case *state == unseen && choice == 3:
+		*state = notRun
+		n.events = append(n.events, retrier.NoInstance{Attempt: number})
+	case *state == unseen:
+		*state = notRun
+		n.events = append(n.events, retrier.NotRun{Attempt: number, Reason: "overloaded"})
+	case *state == running:
+		*state = finished
+		n.events = append(n.events, retrier.Answered{Attempt: number, Complete: choice > 1})
+	}
+}
+
+// fence lets admission answer the oldest query, or loses it.
+func (n *network) fence() {
+	number, state := n.queries[0], unseen
+	n.queries = n.queries[1:]
+	if actual := &n.attempts[number-1]; n.roll(4) > 0 {
+		if *actual == unseen {
+			*actual = notRun
+		}
+		state = *actual
+	}
+	n.events = append(n.events, retrier.FenceResult{Attempt: number, State: state})
+}
+
+// deliver hands over any event on its way, and may repeat or lose it.
+func (n *network) deliver() {
+	i, fate := n.roll(len(n.events)), n.roll(6)
+	event := n.events[i]
+	if fate > 0 {
+		n.events = append(n.events[:i], n.events[i+1:]...)
+	}
+	if fate == 1 {
+		return
+	}
+	if a, answer := event.(retrier.Answered); answer && a.Complete {
+		n.answers[a.Attempt] = true
+	}
+	n.step(event)
+}
+
+func (n *network) run() {
+	for range 1 + n.roll(60) {
+		switch kind := n.roll(10); {
+		case kind == 0:
+			n.step(retrier.Timer{})
+		case kind == 1:
+			n.now += rapid.SampledFrom([]timer.Millis{1, 60, 250, 3000, -200}).Draw(n.T, "span")
+		case kind == 2:
+			n.now = max(n.now, n.wakeAt)
+			n.step(retrier.Timer{})
+		case kind <= 5 && len(n.attempts) > 0:
+			n.move(retrier.Attempt(1 + n.roll(len(n.attempts))))
+		case kind == 6 && len(n.queries) > 0:
+			n.fence()
+		case kind <= 8 && len(n.events) > 0:
+			n.deliver()
+		case n.roll(10) == 0:
+			n.step(retrier.CallerGone{})
+		default:
+			n.step(retrier.Begin{})
+		}
+	}
+	n.now = max(n.now, n.config.Deadline)
+	n.step(retrier.Timer{})
+	if !n.ended {
+		n.Fatalf("no end at the deadline")
+	}
+	for _, event := range append(n.events, retrier.Begin{}, retrier.Timer{}, retrier.Answered{Attempt: 1, Complete: true}) {
+		n.step(event)
+	}
+}
+
+// Guards against a request that runs twice, a false "not run", a missing or
+// second end, and attempts after the deadline, for lost, late, repeated and
+// reordered events and time that jumps.
+func TestRequests(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		// One in 100 requests meets some of the faults, so each check runs several.
+		for range 10 {
+			n := &network{T: t, answers: map[retrier.Attempt]bool{}}
+			n.config = retrier.Config{
+				Deadline:     2000,
+				Idempotent:   n.roll(2) == 0,
+				Keyed:        n.roll(4) == 0,
+				Solo:         n.roll(4) == 0,
+				MaxAttempts:  n.roll(10),
+				StallTimeout: 30 * timer.Millis(n.roll(2)),
+				HedgeDelay:   60 * timer.Millis(n.roll(2)),
+			}
+			n.request = retrier.New(n.config, retrier.Budgets{Retries: plenty{}, Hedges: plenty{}, Queries: plenty{}})
+			n.run()
+		}
+	})
+}
+
+// plenty is a budget that never runs out.
+type plenty struct{}
+
+func (plenty) Take(timer.Millis) bool { return true }
+
+// Guards against retries, hedges or queries beyond their budgets, whatever
+// becomes of the attempts: in no window more than the burst, the percentage of
+// requests and one a second, also when time jumps.
+func TestRequestsStayWithinBudgets(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		percent, burst := rapid.IntRange(0, 100).Draw(t, "percent"), rapid.IntRange(1, 5).Draw(t, "burst")
+		var budgets [3]*retrier.Budget
+		var balances, lowest [3]float64 // Taken less the most that can have been earned.
+		for i := range budgets {
+			budgets[i] = retrier.NewBudget(retrier.BudgetConfig{Percent: percent, Burst: burst}, 0)
+		}
+		var now, latest timer.Millis
+		for range rapid.IntRange(1, 100).Draw(t, "requests") {
+			before := latest
+			now += rapid.SampledFrom([]timer.Millis{0, 0, 0, 1, 400, 90000, -3000}).Draw(t, "span")
+			latest = max(latest, now)
+			for i, b := range budgets {
+				b.Earn(now)
+				balances[i] -= float64(latest-before)/1000 + float64(percent)/100
+				lowest[i] = min(lowest[i], balances[i])
+			}
+			request := retrier.New(retrier.Config{
+				Deadline: now + 1000, Idempotent: rapid.Bool().Draw(t, "idempotent"), MaxAttempts: 8, StallTimeout: 1, HedgeDelay: 1,
+			}, retrier.Budgets{Retries: budgets[0], Hedges: budgets[1], Queries: budgets[2]})
+			event := retrier.Event(retrier.Begin{})
+			for number := retrier.Attempt(1); number < 9; number++ {
+				for _, action := range request.Step(now, event) {
+					switch a := action.(type) {
+					case retrier.Send:
+						if a.Hedge {
+							balances[1]++
+						} else if a.Attempt > 1 {
+							balances[0]++
+						}
+					case retrier.Query:
+						balances[2]++
+					}
+				}
+				event = rapid.SampledFrom([]retrier.Event{retrier.NotRun{Attempt: number}, retrier.Unknown{Attempt: number}, retrier.Timer{}}).Draw(t, "event")
+				now++
+			}
+			for i, balance := range balances {
+				// A request lasts 8 ms, which earn up to 0.008.
+				if balance-lowest[i] > float64(burst)+0.01 || percent == 0 && balance > 0 {
+					t.Fatalf("budget %d: %.2f more taken than earned, burst %d", i, balance-lowest[i], burst)
+				}
+			}
+		}
+	})
+}
--- a/internal/state/selector/queueing_test.go
+++ b/internal/state/selector/queueing_test.go
@@ -103,7 +103,7 @@
 
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{4, 32, 1200} {
-		for _, mode := range []string{"pool", "two choices"} {
+		for _, mode := range []string{"pool", "two choices", "attempt"} {
 			f := selector.NewFilter(selector.NewPowerOfChoices(selector.Config{Reuses: 1 << 40, Domain: "d0"}, newRand()))
 			f.Step(0, selector.InstancesChanged{Instances: members(n, n/4)})
 			for i, instance := range members(n, n/4) {
@@ -114,20 +114,13 @@
 			b.Run(fmt.Sprint(n, " ", mode), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
-					f.Pick(0, selector.Exclusions{})
+					picked, _ := f.Pick(0, selector.Exclusions{})
+					if mode == "attempt" {
+						f.Step(0, selector.AttemptSent{Instance: picked})
+						f.Step(0, selector.AttemptEnded{Instance: picked, Latency: fast})
+					}
 				}
 			})
 		}
 	}
 }
-
-func BenchmarkAttempt(b *testing.B) {
-	f := selector.NewFilter(selector.NewPowerOfChoices(selector.Config{}, newRand()))
-	f.Step(0, selector.InstancesChanged{Instances: members(4, 1)})
-	b.ReportAllocs()
-	for b.Loop() {
-		picked, _ := f.Pick(0, selector.Exclusions{})
-		f.Step(0, selector.AttemptSent{Instance: picked})
-		f.Step(0, selector.AttemptEnded{Instance: picked, Latency: fast})
-	}
-}
--- a/internal/state/selector/selector_test.go
+++ b/internal/state/selector/selector_test.go
@@ -1,13 +1,17 @@
 package selector_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
@@ -100,8 +104,8 @@
 	})
 	It("guards against an old report that replaces a newer one", func() {
 		p := newLoaded(lasting, load(2, fast), load(5, fast))
-		p.Step(500, selector.LoadReported{Instance: "i0", Load: selector.Load{InFlight: 9, Limit: 20, ReceivedAt: 500}})
-		p.Step(500, selector.LoadReported{Instance: "i0", Load: selector.Load{InFlight: 1, Limit: 20, ReceivedAt: 400}})
+		p.Step(500, selector.LoadReported{Instance: "i0", Load: selector.Load{InFlight: 9, ReceivedAt: 500}})
+		p.Step(500, selector.LoadReported{Instance: "i0", Load: selector.Load{InFlight: 1, ReceivedAt: 400}})
 		Expect(count(p, 500, 20)).To(Equal(instanceMap[int]{"i1": 20}))
 	})
 	It("guards against results that are used after expiry or too often", func() {
@@ -146,9 +150,10 @@
 		}
 		return counts
 	}
-	It("guards against probes that grow with requests or instances", func() {
+	It("guards against probes that grow with requests or instances, or leave one of a small service out", func() {
 		busy := probes(1200, true)
 		Expect(probes(1200, false)).To(HaveLen(32))
+		Expect(probes(4, true)).To(HaveLen(4))
 		Expect(busy).To(HaveLen(32))
 		local := 0
 		for _, i := range members(1200, 20)[60:80] {
@@ -159,9 +164,6 @@
 			Expect(n).To(Equal(5)) // 20 a second for 8 s over 32 targets.
 		}
 	})
-	It("guards against instances of a small service that are never probed", func() {
-		Expect(probes(4, true)).To(HaveLen(4))
-	})
 	It("guards against probing an idle service, and a burst after a pause", func() {
 		p := newLoaded(selector.Config{}, cold, cold, cold, cold, cold, cold)
 		Expect(p.ProbeTargets(0)).To(BeEmpty())
@@ -172,34 +174,151 @@
 })
 
 var _ = Describe("filter", func() {
-	It("guards against an ejected instance that is never tried again or too often", func() {
+	It("guards against ejected instances that are never tried again, too often or all at once", func() {
 		f := selector.NewFilter(selector.NewRandom(newRand()))
-		f.Step(0, selector.InstancesChanged{Instances: members(4, 1)})
+		f.Step(0, selector.InstancesChanged{Instances: members(5, 1)})
+		f.Step(0, selector.InstanceEjected{Instance: "i1"})
 		f.Step(0, selector.InstanceEjected{Instance: "i2"})
 		var trials []timer.Millis
 		for now := timer.Millis(0); now < 120*timer.Second; now += 100 {
 			Expect(count(f, now, 3, "i0")["i2"]).To(BeZero())
-			for range count(f, now, 5)["i2"] {
+			picks := count(f, now, 5)
+			for range picks["i1"] + picks["i2"] {
 				trials = append(trials, now/100)
 			}
 		}
-		Expect(trials).To(Equal([]timer.Millis{5, 15, 35, 75, 155, 315, 615, 915}))
+		Expect(trials).To(Equal([]timer.Millis{5, 6, 15, 16, 35, 36, 75, 76, 155, 156, 315, 316, 615, 616, 915, 916}))
 		f.Step(0, selector.AttemptEnded{Instance: "i2", Result: selector.Complete})
 		Expect(count(f, 120*timer.Second, 100)["i2"]).To(BeNumerically(">", 10))
 	})
-	It("guards against a lost failure domain that costs every request a trial", func() {
-		f := selector.NewFilter(selector.NewRandom(newRand()))
-		f.Step(0, selector.InstancesChanged{Instances: members(40, 20)})
-		for _, instance := range members(20, 20) {
-			f.Step(0, selector.InstanceEjected{Instance: instance.ID})
+})
+
+func drawLoad(t *rapid.T, now timer.Millis) selector.Load {
+	return selector.Load{
+		InFlight:    rapid.Int32Range(0, 6).Draw(t, "in flight"),
+		Queued:      rapid.Int32Range(0, 1).Draw(t, "queued"),
+		Limit:       rapid.Int32Range(0, 6).Draw(t, "limit"),
+		Cold:        rapid.IntRange(0, 3).Draw(t, "cold") == 0,
+		MeanLatency: time.Duration(rapid.IntRange(0, 4).Draw(t, "latency")) * time.Millisecond,
+		ReceivedAt:  now + rapid.SampledFrom([]timer.Millis{0, -30, -2000, 50}).Draw(t, "offset"),
+	}
+}
+
+// Guards against picks of tried, removed or newly ejected instances, and
+// against "none" while an untried instance exists, for lost, repeated and
+// reordered events and time that jumps.
+func TestPickHonoursExclusions(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		create func(*rand.Rand) selector.Policy
+	}{
+		{"power of choices", func(rng *rand.Rand) selector.Policy {
+			return selector.NewPowerOfChoices(selector.Config{Domain: "d0"}, rng)
+		}},
+		{"random", func(rng *rand.Rand) selector.Policy { return selector.NewRandom(rng) }},
+		{"round robin", func(rng *rand.Rand) selector.Policy { return selector.NewRoundRobin(rng) }},
+		{"least reported", func(rng *rand.Rand) selector.Policy { return selector.NewLeastReported(rng) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tester.Check(t, func(t *rapid.T) { checkExclusions(t, selector.NewFilter(c.create(newRand()))) })
+		})
+	}
+}
+
+// status is when an instance was ejected, if it was.
+type status struct {
+	ejected bool
+	at      timer.Millis
+}
+
+func checkExclusions(t *rapid.T, f *selector.Filter) {
+	all, known := members(40, 10), instanceMap[status]{}
+	var now, elapsed timer.Millis
+	for range rapid.IntRange(1, 80).Draw(t, "steps") {
+		span := rapid.SampledFrom([]timer.Millis{0, 1, 60, 700, 9000, -100}).Draw(t, "span")
+		now, elapsed = now+span, elapsed+max(span, 0)
+		id := all[rapid.IntRange(0, rapid.SampledFrom([]int{4, 39}).Draw(t, "bound")).Draw(t, "instance")].ID
+		old, member := known[id]
+		switch rapid.IntRange(0, 6).Draw(t, "event") {
+		case 0:
+			first := rapid.IntRange(0, 3).Draw(t, "first")
+			current := all[first:rapid.IntRange(first, 40).Draw(t, "end")]
+			f.Step(now, selector.InstancesChanged{Instances: current})
+			before := known
+			known = instanceMap[status]{}
+			for _, i := range current {
+				known[i.ID] = before[i.ID]
+			}
+		case 1:
+			f.Step(now, selector.LoadReported{Instance: id, Load: drawLoad(t, now)})
+		case 2:
+			f.Step(now, selector.AttemptSent{Instance: id})
+		case 3:
+			f.Step(now, selector.AttemptEnded{Instance: id, Result: selector.NotRun})
+		case 4:
+			f.Step(now, selector.InstanceEjected{Instance: id})
+			if member && !old.ejected {
+				known[id] = status{true, elapsed}
+			}
+		case 5:
+			f.Step(now, selector.InstanceUsable{Instance: id})
+			if member {
+				known[id] = status{}
+			}
 		}
-		trials := 0
-		for now := timer.Millis(500); now < timer.Second; now++ {
-			picks := count(f, now, 3)
-			for _, ejected := range members(20, 20) {
-				trials += picks[ejected.ID]
+		checkPicks(t, f, now, elapsed, maps.Clone(known))
+	}
+}
+
+// checkPicks sends one request to one instance after the other.
+func checkPicks(t *rapid.T, f *selector.Filter, now, elapsed timer.Millis, untried instanceMap[status]) {
+	var tried []identifier.InstanceID
+	for range rapid.SampledFrom([]int{1, 3, 41}).Draw(t, "attempts") {
+		picked, found := f.Pick(now, selector.Exclusions{Tried: tried})
+		s, allowed := untried[picked]
+		usable := false
+		for _, other := range untried {
+			usable = usable || !other.ejected
+		}
+		if found != (len(untried) > 0) || found && !allowed || s.ejected && usable && (len(tried) > 0 || elapsed-s.at < 500) {
+			t.Fatalf("%q %v picked at %d with %v tried of %v", picked, found, elapsed, tried, untried)
+		}
+		delete(untried, picked)
+		tried = append(tried, picked)
+	}
+}
+
+// Guards against a ranking other than the hot/cold rule: not the lowest latency
+// among those at or below the 0.84 quantile of requests in flight.
+func TestHotColdRule(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		loads := make([]selector.Load, rapid.IntRange(1, 32).Draw(t, "instances"))
+		for i := range loads {
+			loads[i] = drawLoad(t, 0)
+		}
+		picked, _ := newLoaded(selector.Config{Choices: 32, WarmUpEvery: -1}, loads...).Pick(50, selector.Exclusions{})
+
+		inFlight := func(l selector.Load) int32 { return l.InFlight + l.Queued }
+		fresh := slices.DeleteFunc(slices.Clone(loads), func(l selector.Load) bool { return l.ReceivedAt <= -950 })
+		if 2*len(fresh) < len(loads) {
+			return
+		}
+		slices.SortFunc(fresh, func(a, b selector.Load) int { return cmp.Compare(inFlight(a), inFlight(b)) })
+		threshold := inFlight(fresh[(len(fresh)-1)*84/100])
+		key := func(l selector.Load) []int64 {
+			if inFlight(l) > threshold {
+				return []int64{1, int64(inFlight(l)), 0}
 			}
+			return []int64{0, int64(l.MeanLatency), int64(inFlight(l))}
+		}
+		good := slices.DeleteFunc(fresh, func(l selector.Load) bool { return l.Cold || l.Limit > 0 && inFlight(l) >= l.Limit })
+		if len(good) == 0 {
+			return
+		}
+		best := slices.MinFunc(good, func(a, b selector.Load) int { return slices.Compare(key(a), key(b)) })
+		got := loads[slices.IndexFunc(members(32, 1), func(i selector.Instance) bool { return i.ID == picked })]
+		if !slices.Contains(good, got) || slices.Compare(key(got), key(best)) != 0 {
+			t.Fatalf("picked %+v, best is %+v, threshold %d", got, best, threshold)
 		}
-		Expect(trials).To(Equal(5))
 	})
-})
+}
