--- a/internal/transport/receiver/route.go
+++ b/internal/transport/receiver/route.go
@@ -30,9 +30,6 @@
 	// loadFieldInterval is the shortest time between two requests for the load
 	// field of one instance, so that its cost does not grow with the calls.
 	loadFieldInterval = 100 * timer.Millis(1)
-	// minStallTimeout is the shortest time without an answer after which an
-	// attempt is queried.
-	minStallTimeout = 250 * timer.Millis(1)
 	// minHedgeDelay keeps very fast services from being hedged on noise.
 	minHedgeDelay = 5 * timer.Millis(1)
 	// queryPercent is the share of requests whose attempts may be queried.
@@ -55,7 +52,7 @@
 	retries *retrier.Budget
 	hedges  *retrier.Budget
 	queries *retrier.Budget
-	answers latencyQuantiles
+	answers retrier.Latencies
 	wanted  map[identifier.InstanceID]timer.Millis
 	usedAt  timer.Millis
 }
@@ -102,13 +99,16 @@
 	r.queries.Earn(now)
 }
 
-// delays returns when to query and when to hedge an attempt.
+// delays returns when to query and when to hedge an attempt; a hedge delay of
+// zero means not to hedge.
 func (r *route) delays() (stall, hedge timer.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	stall = max(minStallTimeout, 2*timer.FromDuration(r.answers.p99))
-	hedge = max(minHedgeDelay, timer.FromDuration(r.answers.p95)+1)
-	return stall, hedge
+	hedge = r.answers.HedgeDelay()
+	if hedge > 0 {
+		hedge = max(minHedgeDelay, hedge)
+	}
+	return r.answers.StallTimeout(), hedge
 }
 
 // pick chooses an instance and counts the attempt to it.
@@ -137,7 +137,7 @@
 	defer r.mu.Unlock()
 	r.step(now, selector.AttemptEnded{Instance: instance, Latency: latency, Result: result})
 	if result == selector.Complete {
-		r.answers.observe(latency)
+		r.answers.Observe(now, latency)
 	}
 }
 
