--- a/internal/state/tracker/liveness_test.go
+++ b/internal/state/tracker/liveness_test.go
@@ -98,14 +98,14 @@
 
 	It("guards against a daemon that misses its own removal", func() {
 		tr := domainOf(2)
-		_, removed := tr.Removed(1)
+		_, removed := tr.Removed("i-0", 1)
 		Expect(removed).To(BeFalse())
-		Expect(tr.Present(1)).To(BeTrue())
+		Expect(tr.Present("i-0", 1)).To(BeTrue())
 		fold(tr, tracker.Leave{Instance: "i-0", Incarnation: 3})
-		above, removed := tr.Removed(1)
+		above, removed := tr.Removed("i-0", 1)
 		Expect(removed).To(BeTrue())
 		Expect(above).To(BeEquivalentTo(3))
-		Expect(tr.Present(1)).To(BeFalse())
+		Expect(tr.Present("i-0", 1)).To(BeFalse())
 	})
 
 	It("guards against the removal of living members after a log outage, and against entries that stay for good", func() {
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -115,16 +115,17 @@
 	return Entry{Member: t.table.member(r), RenewedOffset: r.offset, RenewedAge: t.observed - r.renewed}, true
 }
 
-// Present reports whether this daemon is a member with the given incarnation.
-func (t *Tracker) Present(incarnation identifier.Incarnation) bool {
-	r := t.table.find(t.config.Self)
+// Present reports whether an incarnation of an instance is a member.
+func (t *Tracker) Present(instance identifier.InstanceID, incarnation identifier.Incarnation) bool {
+	r := t.table.find(instance)
 	return r != nil && !r.left && r.incarnation == incarnation
 }
 
-// Removed reports whether this daemon's incarnation was removed from the
-// membership, and the incarnation that its next one must exceed.
-func (t *Tracker) Removed(incarnation identifier.Incarnation) (identifier.Incarnation, bool) {
-	r := t.table.find(t.config.Self)
+// Removed reports whether an incarnation of an instance was removed from the
+// membership, and the incarnation that the next one must exceed. A daemon asks
+// for its own.
+func (t *Tracker) Removed(instance identifier.InstanceID, incarnation identifier.Incarnation) (identifier.Incarnation, bool) {
+	r := t.table.find(instance)
 	if r == nil || r.incarnation < incarnation {
 		return 0, false
 	}
