--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -48,14 +48,32 @@
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
+	started := false
+	noteStart(root, &started)
 	err := root.Execute()
 	if err == nil {
 		return exitSuccess
 	}
 	fmt.Fprintln(stderr, err)
+	if !started {
+		return exitFindings
+	}
 	return exitCode(err)
 }
 
+// noteStart sets started when a command runs; an error before that is bad usage.
+func noteStart(cmd *cobra.Command, started *bool) {
+	if run := cmd.RunE; run != nil {
+		cmd.RunE = func(cmd *cobra.Command, arguments []string) error {
+			*started = true
+			return run(cmd, arguments)
+		}
+	}
+	for _, child := range cmd.Commands() {
+		noteStart(child, started)
+	}
+}
+
 func exitCode(err error) int {
 	var exit *exitError
 	switch {
@@ -79,7 +97,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{exitFindings, err} })
 	root.AddCommand(newDaemonCommand(), newSheetCommand(), newStatusCommand(), newAuditCommand(), newTokenCommand(), newVersionCommand())
 	return root
 }
--- a/internal/commander/sheet.go
+++ b/internal/commander/sheet.go
@@ -12,7 +12,10 @@
 )
 
 func newSheetCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "sheet", Short: "Check, compare and publish the morning sheet"}
+	cmd := &cobra.Command{
+		Use: "sheet", Short: "Check, compare and publish the morning sheet", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
 	cmd.AddCommand(newCheckCommand(), newDiffCommand(), newPublishCommand())
 	return cmd
 }
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -99,6 +99,9 @@
 		at := time.UnixMilli(e.PublishedAtMs).UTC().Format(time.RFC3339)
 		fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n",
 			e.Offset, at, e.Operator, e.BaseVersion, e.Version, result, e.ChangeId, strconv.Itoa(len(e.Edits)))
+		if e.Comment != "" {
+			fmt.Fprintf(w, "\t\t\t\t\t\t\tcomment: %s\n", e.Comment)
+		}
 		for _, edit := range e.Edits {
 			fmt.Fprintf(w, "\t\t\t\t\t\t\t%s\n", edit)
 		}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/authenticator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -165,7 +166,7 @@
 
 func (l Limits) check(findings *reporter.Findings) {
 	checkRange("limits.header_bytes", l.HeaderBytes, 1<<10, 1<<20, findings)
-	checkRange("limits.body_bytes", l.BodyBytes, 0, maxBodyBytes, findings)
+	checkRange("limits.body_bytes", l.BodyBytes, 1<<10, maxBodyBytes, findings)
 	checkRange("limits.connections", l.Connections, 1, maxCount, findings)
 	checkRange("limits.requests_in_flight", l.RequestsInFlight, 1, maxCount, findings)
 	checkRange("limits.call_depth", l.CallDepth, 1, 64, findings)
@@ -174,8 +175,8 @@
 func (s *Settings) checkOperators(findings *reporter.Findings) {
 	for i, operator := range s.Operators {
 		place := fmt.Sprintf("operators[%d]", i)
-		if operator.Name == "" {
-			findings.Add(place+".name", operator.Name, "is empty")
+		if !reducer.IsToken(string(operator.Name)) {
+			findings.Add(place+".name", operator.Name, "is not 1 to 64 visible ASCII characters")
 		}
 		var hash authenticator.Hash
 		if hash.UnmarshalText([]byte(operator.TokenSHA256)) != nil {
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -14,8 +14,10 @@
 	claimInterval = 100 * timer.Millis(1)
 	peersInterval = 30 * timer.Second
 	// ownershipFresh is the age up to which the end of the ownership stream
-	// counts as just read.
-	ownershipFresh = timer.Second
+	// counts as just read. A quiet stream is confirmed by each long poll, which
+	// takes up to 2 s behind a relay; the margin between the spans of the lease
+	// is 10 s.
+	ownershipFresh = 4 * timer.Second
 )
 
 // loops returns the work that runs until the daemon has stopped.
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
@@ -40,9 +41,9 @@
 	limits := d.settings.Limits
 	newServer := func(handler fasthttp.RequestHandler, body int64) *fasthttp.Server {
 		return &fasthttp.Server{
-			Handler: handler, Concurrency: int(limits.Connections), ReadBufferSize: int(limits.HeaderBytes),
+			Handler: limitAge(handler), Concurrency: int(limits.Connections), ReadBufferSize: int(limits.HeaderBytes),
 			MaxRequestBodySize: int(body), ReadTimeout: readTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
-			MaxKeepaliveDuration: connectionLifetime.Duration(), NoDefaultServerHeader: true,
+			NoDefaultServerHeader:        true,
 			DisablePreParseMultipartForm: true, NoDefaultContentType: true,
 			SecureErrorLogMessage: true, Logger: serverLogger{d.logger}, CloseOnShutdown: true,
 		}
@@ -81,6 +82,16 @@
 	return s, nil
 }
 
+// limitAge closes connections that have reached their lifetime after an answer.
+func limitAge(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		handler(ctx)
+		if time.Since(ctx.ConnTime()) > connectionLifetime.Duration() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // serveLocal takes announcements of the backend server.
 func (d *daemon) serveLocal(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != "/announce" || !ctx.IsPost() {
--- a/internal/state/deduplicator/claims.go
+++ b/internal/state/deduplicator/claims.go
@@ -15,6 +15,8 @@
 	MaxTotalAnswerBytes = 8 << 20
 	// MaxClaims bounds the keys of one daemon.
 	MaxClaims = 100_000
+	// sweepInterval is the time between two looks at all claims.
+	sweepInterval = 10 * timer.Second
 )
 
 // takeover describes the begin of this daemon's ownership of a shard.
@@ -34,6 +36,7 @@
 	takeovers   map[identifier.Shard]takeover
 	// inherited holds the begin that came with a handover.
 	inherited map[identifier.Shard]takeover
+	swept     timer.Millis
 }
 
 // NewClaims returns an empty table.
@@ -192,12 +195,23 @@
 	c.order.Remove(e)
 }
 
-// expire drops the oldest claims whose window has passed. Windows differ little,
-// so a claim behind one with a longer window is dropped somewhat later.
+// expire drops the claims whose window has passed. It looks at the oldest each
+// time and at all from time to time, since windows of services differ.
 func (c *Claims) expire(now timer.Millis) {
 	for e := c.order.Front(); e != nil && claimOf(e).ExpiresAt <= now; e = c.order.Front() {
 		c.remove(e)
 	}
+	if now-c.swept < sweepInterval {
+		return
+	}
+	c.swept = now
+	for e := c.order.Front(); e != nil; {
+		next := e.Next()
+		if claimOf(e).ExpiresAt <= now {
+			c.remove(e)
+		}
+		e = next
+	}
 }
 
 func claimOf(e *list.Element) *Claim { return e.Value.(*Claim) }
--- a/internal/transport/manager/manager.go
+++ b/internal/transport/manager/manager.go
@@ -104,6 +104,9 @@
 		answer.ChangeId = rand.Text()
 	}
 	id := identifier.ChangeID(answer.ChangeId)
+	if !reducer.IsToken(answer.ChangeId) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, Error.New("change id is not 1 to 64 visible ASCII characters"))
+	}
 	if entry, found := m.config.Configuration.Fate(id); found {
 		return fill(answer, entry), nil
 	}
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -88,8 +88,8 @@
 		return
 	}
 	if i.draining.Load() {
-		ctx.SetConnectionClose()
 		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDraining, RetryAfterMs: drainRetryAfter})
+		ctx.SetConnectionClose()
 		return
 	}
 	r, refusal := i.parse(ctx, started)
@@ -152,7 +152,7 @@
 	if r.key == "" && service.KeyRequired(string(ctx.Method()), path) {
 		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonKeyRequired}
 	}
-	r.keyed = r.key != "" && !r.idempotent
+	r.keyed = r.key != "" && !r.idempotent && service.DeduplicationWindow > 0
 	return r, nil
 }
 
--- a/pkg/parser/edits.go
+++ b/pkg/parser/edits.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/decoder"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 )
 
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -37,6 +37,9 @@
 // Error lists the findings, one a line.
 func (e *InvalidError) Error() string { return Error.Wrap(e.Findings.Err()).Error() }
 
+// Unwrap returns the list of findings as an error of class reporter.Error.
+func (e *InvalidError) Unwrap() error { return e.Findings.Err() }
+
 // FindingsOf returns the findings that an error of this package lists, or nil.
 func FindingsOf(err error) []reporter.Finding {
 	var invalid *InvalidError
--- a/pkg/parser/service.go
+++ b/pkg/parser/service.go
@@ -14,6 +14,7 @@
 	maxExpectedLoad     = 100_000_000
 	maxQueueLength      = 10_000
 	maxTimeoutMs        = 10 * timer.Minute
+	minDeduplicationMs  = timer.Minute
 	maxDeduplicationMs  = 7 * timer.Day
 	maxQuarantineMs     = timer.Day
 	maxListEntries      = 256
@@ -102,6 +103,9 @@
 func (s *Service) checkSpans(place string, findings *reporter.Findings) {
 	window := at(place, "deduplication_window_ms")
 	checkRange(window, s.DeduplicationWindow, 0, maxDeduplicationMs, findings)
+	if s.DeduplicationWindow > 0 && s.DeduplicationWindow < minDeduplicationMs {
+		findings.Add(window, s.DeduplicationWindow, fmt.Sprintf("is below %d; callers' clocks may differ by 30 s", minDeduplicationMs))
+	}
 	if len(s.KeyRequiredRules) > 0 && s.DeduplicationWindow == 0 {
 		findings.Add(window, s.DeduplicationWindow, "must be positive when key_required has rules")
 	}
