Run the ownership property with 300 checks

A successor that promises while it takes over needs more than the default of 100 checks to be found. CheckN raises the number for one property and keeps -rapid.checks and -rapid.seed in force when they are given.

--- a/internal/state/deduplicator/lease_test.go
+++ b/internal/state/deduplicator/lease_test.go
@@ -293,10 +293,11 @@
 }
 
 // Guards against two owners of one shard and two runs of one key while owners pause, restart, lose links or
-// the log, hand over, and while append answers are lost.
+// the log, hand over, and while append answers are lost. A successor that promises while it takes over is
+// not found within the default of 100 checks.
 func TestKeyIsGrantedOnce(t *testing.T) {
 	granted := 0
-	tester.Check(t, func(t *rapid.T) {
+	tester.CheckN(t, 300, func(t *rapid.T) {
 		d := newDeployment(t, rapid.IntRange(1, 5).Draw(t, "daemons"))
 		for range 600 {
 			if rapid.IntRange(0, 29).Draw(t, "fault now") == 0 {
--- a/internal/tester/tester.go
+++ b/internal/tester/tester.go
@@ -9,11 +9,14 @@
 //		tester.Check(t, func(t *rapid.T) { ... })
 //	}
 //
-// To search with other seeds, pass -rapid.seed to go test.
+// To search with other seeds or longer, pass -rapid.seed or -rapid.checks to go
+// test.
 package tester
 
 import (
 	"flag"
+	"strconv"
+	"sync"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -42,3 +45,30 @@
 	}
 	rapid.Check(t, property)
 }
+
+const checksFlag = "rapid.checks"
+
+// checksGiven tells whether go test was called with -rapid.checks. It is asked
+// before CheckN sets the flag itself.
+var checksGiven = sync.OnceValue(func() bool {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == checksFlag })
+	return given
+})
+
+// CheckN is Check with another number of checks unless -rapid.checks is given.
+// It must not run in parallel with other properties, which share the flag.
+func CheckN(t *testing.T, checks int, property func(*rapid.T)) {
+	t.Helper()
+	current := flag.Lookup(checksFlag)
+	if checksGiven() || current == nil {
+		Check(t, property)
+		return
+	}
+	before := current.Value.String()
+	defer func() { _ = flag.Set(checksFlag, before) }()
+	if err := flag.Set(checksFlag, strconv.Itoa(checks)); err != nil {
+		t.Fatal(err)
+	}
+	Check(t, property)
+}
