--- a/internal/state/deduplicator/lease_test.go
+++ b/internal/state/deduplicator/lease_test.go
@@ -108,7 +108,7 @@
 		d.log = append(d.log, payload)
 	default:
 		d.log = append(d.log, payload)
-		d.handle(n, n.lease.Step(d.now, deduplicator.Appended{Records: a.Records}, nil))
+		d.handle(n, n.lease.Step(d.now, deduplicator.Appended(a), nil))
 	}
 }
 
