Add the runtime of shard ownership and claims

The state machines of deduplicator had nobody to append their records, ask for promises or carry claims between daemons. Claimer does that: it folds the ownership stream, asks owners for claims until the deadline, serves the peer messages and hands shards over in a planned stop.

Two events are not passed on as they come, since the lease would become unsafe: a refused append counts only if no other append of the same epoch may still take effect, and a restored checkpoint counts only for shards whose epoch changed. Otherwise a successor with a takeover under way promises again, which makes two owners.

A claim that may have been granted without an answer is reported as not run in the background.

A handover ends with a message without claims. A successor imports and takes over only then, because one with a part of the claims would let requests run twice.

TestUnreachableOwner found that a pause after a try was bounded by the time left before the try and so overran the deadline; this is fixed. Faults planted, seen to fail and reverted: - TestPausedOwnerDoesNotGrant: lease checked with an earlier clock reading - TestSuccessorTakesOver: takeover begins without the mark for lost claims - TestRefusedTakeover: every refusal passed on; no refusal passed on - TestRestoreKeepsTakeover: all shards reset by a checkpoint - TestHandoverWithSettleInTransit: outcomes, or claims, accepted after the release - TestHandoverOfLargeClaimsToSecondSuccessor: only the first successor asked; one message for all claims - TestHandoverToTwoSuccessors: imported claims kept without the next epoch - TestPartialHandoverIsNotUsed: import at the first message - TestClaimAnswerLost: no report after lost answers; a lost answer ends the claim - TestLateClaimAfterRelease: released tokens forgotten - TestUnreachableOwner: time limit of a try not bounded by the deadline - TestInvalidMessages: no check of fingerprint length, shard range, expiry - TestCheckpoint: no check of records; any JSON object taken for a checkpoint

--- /dev/null
+++ b/internal/coordination/claimer/claim.go
@@ -0,0 +1,186 @@
+package claimer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// tryTimeout bounds one request to an owner. It exceeds a round trip
+	// between regions and leaves time for more tries.
+	tryTimeout = 300 * timer.Millis(1)
+	// deadlineMargin is left of the deadline for the refusal to the caller.
+	deadlineMargin = 20 * timer.Millis(1)
+	// Pauses between tries double from the first to the last.
+	firstPause = 20 * timer.Millis(1)
+	lastPause  = 200 * timer.Millis(1)
+)
+
+// verdicts maps the verdicts on the wire, except for the one that is none.
+var verdicts = map[peerv1.ClaimResponse_Verdict]deduplicator.Verdict{
+	peerv1.ClaimResponse_VERDICT_GRANTED:     deduplicator.Granted,
+	peerv1.ClaimResponse_VERDICT_IN_PROGRESS: deduplicator.InProgress,
+	peerv1.ClaimResponse_VERDICT_DONE:        deduplicator.Done,
+	peerv1.ClaimResponse_VERDICT_MISMATCH:    deduplicator.Mismatch,
+	peerv1.ClaimResponse_VERDICT_OWNER_LOST:  deduplicator.OwnerLost,
+	peerv1.ClaimResponse_VERDICT_FULL:        deduplicator.Full,
+}
+
+// wireVerdicts is the inverse of verdicts.
+var wireVerdicts = func() map[deduplicator.Verdict]peerv1.ClaimResponse_Verdict {
+	inverse := map[deduplicator.Verdict]peerv1.ClaimResponse_Verdict{}
+	for wire, verdict := range verdicts {
+		inverse[verdict] = wire
+	}
+	return inverse
+}()
+
+// decision is the result of one try. Without a verdict the owner was not found.
+type decision struct {
+	verdict deduplicator.Verdict
+	answer  []byte
+	// uncertain is set if the claim may have been granted, or may yet be, without
+	// this daemon learning of it.
+	uncertain bool
+}
+
+// Claim asks the owner of a key's shard whether a request may run, until an
+// owner decides or the deadline, on this daemon's monotonic clock, is near. The
+// request runs only after Granted; without ok nobody decided and it must not
+// run. The answer is set for Done if the owner kept it.
+//
+// The token must be unique to this call in the whole deployment, since a token
+// that was granted is granted again. Shard and window of the request are not
+// used: they follow from key and configuration.
+//
+// After a try without an answer and without Granted in the end, the claim is
+// reported as not run in the background, so that a lost answer does not block
+// the key. This is safe when messages are late: by then it is decided that this
+// arrival never runs, and Settle affects only the claim of its own token, so it
+// cannot release a claim under which another arrival runs. A claim message that
+// arrives after that report must not take the key again. The owner refuses it,
+// because it remembers released tokens as long as a message can be under way,
+// and because a message to an earlier owner carries an earlier epoch. If the
+// report is lost, or the token was forgotten, the key is blocked for its window,
+// which is an unknown outcome and safe.
+func (c *Claimer) Claim(deadline timer.Millis, request deduplicator.Request) (deduplicator.Verdict, []byte, bool) {
+	request.Shard = c.shardOf(request.Key)
+	err := c.checkKey(string(request.Key.Service), string(request.Key.Key), string(request.Token), request.Shard)
+	if err != nil {
+		c.config.Logger.Warn("claim not sent", "error", err)
+		return 0, nil, false
+	}
+	result := c.tryUntil(deadline-deadlineMargin, request)
+	if result.uncertain && result.verdict != deduplicator.Granted {
+		c.Settle(request, deduplicator.OutcomeNotRun, nil)
+	}
+	return result.verdict, result.answer, result.verdict != 0
+}
+
+// tryUntil repeats tries until one brings a verdict or the time is over. The
+// result is uncertain if any try was.
+func (c *Claimer) tryUntil(end timer.Millis, request deduplicator.Request) decision {
+	left := func() timer.Millis { return end - c.config.Clock.Now() }
+	uncertain := false
+	for pause := firstPause; left() > 0 && c.ctx.Err() == nil; pause = min(2*pause, lastPause) {
+		result := c.try(left(), request)
+		uncertain = uncertain || result.uncertain
+		if result.verdict != 0 {
+			result.uncertain = uncertain
+			return result
+		}
+		sleep(c.ctx, min(pause, left()))
+	}
+	return decision{uncertain: uncertain}
+}
+
+// try asks the owner of the current epoch once.
+func (c *Claimer) try(left timer.Millis, request deduplicator.Request) decision {
+	owner, epoch := c.owner(request.Shard)
+	if epoch == 0 {
+		return decision{}
+	}
+	if owner == c.config.Self {
+		verdict, answer, _ := c.grant(c.ctx, request, epoch)
+		return decision{verdict: verdict, answer: answer}
+	}
+	peer, found := c.config.Peer(owner)
+	if !found {
+		return decision{}
+	}
+	response, err := call(c.ctx, min(tryTimeout, left), peer.Claim, &peerv1.ClaimRequest{
+		Service: string(request.Key.Service), Key: string(request.Key.Key), Fingerprint: request.Fingerprint[:],
+		Shard: uint32(request.Shard), Epoch: uint64(epoch), Token: string(request.Token),
+	})
+	if err != nil {
+		c.config.Logger.Debug("claim not answered", "owner", owner.Instance, "shard", request.Shard, "error", err)
+		return decision{uncertain: true}
+	}
+	verdict, decided := verdicts[response.GetVerdict()]
+	if !decided {
+		return decision{uncertain: response.GetVerdict() != peerv1.ClaimResponse_VERDICT_NOT_OWNER}
+	}
+	return decision{verdict: verdict, answer: response.GetAnswer()}
+}
+
+// grant decides about a claim as owner. Without a verdict this daemon cannot
+// decide; the error is set if the sender should learn more than that.
+func (c *Claimer) grant(ctx context.Context, request deduplicator.Request, epoch identifier.Epoch) (deduplicator.Verdict, []byte, error) {
+	window, known := c.config.Window(request.Key.Service)
+	if !known {
+		err := Error.New("service %s has no deduplication window here", request.Key.Service)
+		return 0, nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	request.Window = window
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.available(ctx); err != nil {
+		return 0, nil, err
+	}
+	// The clock is read here and not before the lock: a process that was paused
+	// finds its lease lapsed.
+	now := c.config.Clock.Now()
+	if c.released.has(now, request.Token) || !c.lease.CanGrant(now, request.Shard, epoch) {
+		return 0, nil, nil
+	}
+	verdict, answer := c.claims.Claim(now, c.config.Clock.Wall(), request)
+	return verdict, answer, nil
+}
+
+// ServeClaim answers Peer.Claim as the owner of a shard.
+func (c *Claimer) ServeClaim(ctx context.Context, req *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
+	request, err := c.decodeClaim(req)
+	if err != nil {
+		return nil, invalid(err)
+	}
+	verdict, answer, err := c.grant(ctx, request, identifier.Epoch(req.GetEpoch()))
+	if err != nil {
+		return nil, err
+	}
+	if verdict == 0 {
+		return &peerv1.ClaimResponse{Verdict: peerv1.ClaimResponse_VERDICT_NOT_OWNER}, nil
+	}
+	return &peerv1.ClaimResponse{Verdict: wireVerdicts[verdict], Answer: answer}, nil
+}
+
+func (c *Claimer) decodeClaim(req *peerv1.ClaimRequest) (deduplicator.Request, error) {
+	request := deduplicator.Request{
+		Key: keyOf(req.GetService(), req.GetKey()), Shard: identifier.Shard(req.GetShard()),
+		Token: deduplicator.Token(req.GetToken()),
+	}
+	if err := c.checkEpoch(req.GetShard(), req.GetEpoch()); err != nil {
+		return request, err
+	}
+	if err := c.checkKey(req.GetService(), req.GetKey(), req.GetToken(), request.Shard); err != nil {
+		return request, err
+	}
+	fingerprint, err := decodeFingerprint(req.GetFingerprint())
+	request.Fingerprint = fingerprint
+	return request, err
+}
--- /dev/null
+++ b/internal/coordination/claimer/claimer_test.go
@@ -0,0 +1,285 @@
+package claimer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/claimer"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Guards against an owner that was paused and grants a claim that waited in its socket before it noticed.
+func TestPausedOwnerDoesNotGrant(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, _, others := w.roles()
+		request := w.wire(order("k", "t1"))
+		owner.set(func() { owner.paused = true })
+		time.Sleep(10 * time.Second)
+		w.Expect(w.current().Owner).NotTo(Equal(owner.self))
+		owner.expectNotOwner(request)
+		others[0].expect(order("k", "t2"), deduplicator.OwnerLost)
+	})
+}
+
+// Guards against a run that a lost owner may have granted, and against blocking keys that it cannot have seen.
+func TestSuccessorTakesOver(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, _, others := w.roles()
+		others[0].expect(order("k", "t1"), deduplicator.Granted)
+		owner.set(func() { owner.cut, owner.paused = true, true })
+		others[0].expect(order("k", "t2"), undecided)
+		time.Sleep(40 * time.Second)
+		others[0].expect(order("k", "t3"), deduplicator.OwnerLost)
+		wall := uint64(w.clock.Wall())
+		fresh := fmt.Sprintf("%08x-%04x-7000-8000-000000000001", wall>>16, wall&0xffff)
+		others[0].expect(order(fresh, "t4"), deduplicator.Granted)
+	})
+}
+
+// Guards against two owners: a takeover whose answer was lost may still take effect, whatever became of the
+// appends after it, so the successor must not promise. After refusals alone it must.
+func TestRefusedTakeover(t *testing.T) {
+	refused := appender.Refused.New("too many")
+	for promises, failures := range [][]error{{errLost, refused}, {refused}} {
+		simulate(t, 2, func(w *world) {
+			owner, successors, _ := w.roles()
+			w.failAppends(failures...)
+			owner.set(func() { owner.paused = true })
+			time.Sleep(10 * time.Second)
+			w.Expect(successors[0].promise(owner)).To(HaveLen(promises))
+		})
+	}
+}
+
+// Guards against two owners: a checkpoint that leaves the epoch of a shard as it is must not make a successor
+// promise while its takeover is under way.
+func TestRestoreKeepsTakeover(t *testing.T) {
+	simulate(t, 3, func(w *world) {
+		owner, successors, _ := w.roles()
+		w.failAppends(errLost)
+		owner.set(func() { owner.paused = true })
+		time.Sleep(10 * time.Second)
+		checkpoint, err := w.fold([]byte("{}")).Checkpoint()
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(successors[0].Restore(checkpoint)).To(BeTrue())
+		w.Expect(successors[0].promise(owner)).To(BeEmpty())
+	})
+}
+
+// Guards against a claim or an outcome that reaches an owner after it gave its claims away, which the successor
+// would not know.
+func TestHandoverWithSettleInTransit(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, successors, others := w.roles()
+		others[0].expect(order("k", "t1"), deduplicator.Granted)
+		w.Expect(owner.HandOver(context.Background())).To(Succeed())
+		owner.expectNotOwner(w.wire(order("late", "t4")))
+		others[0].Settle(order("k", "t1"), deduplicator.OutcomeComplete, []byte("ordered"))
+		time.Sleep(2 * time.Second)
+		w.Expect(w.current().Owner).To(Equal(successors[0].self))
+		w.Expect(others[0].expect(order("k", "t2"), deduplicator.Done)).To(Equal("ordered"))
+		others[0].expect(order("new", "t3"), deduplicator.Granted)
+	})
+}
+
+// Guards against claims that are lost because the first successor does not answer, or that exceed one message.
+func TestHandoverOfLargeClaimsToSecondSuccessor(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, successors, others := w.roles()
+		answer := bytes.Repeat([]byte("x"), deduplicator.MaxAnswerBytes)
+		for i := range 400 {
+			request := order(fmt.Sprint("k", i), "t1")
+			owner.expect(request, deduplicator.Granted)
+			owner.Settle(request, deduplicator.OutcomeComplete, answer)
+		}
+		successors[0].set(func() { successors[0].cut, successors[0].paused = true, true })
+		w.Expect(owner.HandOver(context.Background())).To(Succeed())
+		w.Expect(successors[1].handed).To(Equal(3))
+		// The new owner first replaces a successor that does not answer.
+		time.Sleep(10 * time.Second)
+		for i := range 400 {
+			w.Expect(others[0].expect(order(fmt.Sprint("k", i), "t2"), deduplicator.Done)).To(HaveLen(len(answer)))
+		}
+	})
+}
+
+// Guards against claims of a handover to two successors, whose first answer was lost, that the one without the
+// next epoch keeps: they would hide claims of a later handover.
+func TestHandoverToTwoSuccessors(t *testing.T) {
+	simulate(t, 3, func(w *world) {
+		first, successors, _ := w.roles()
+		first.expect(order("k", "t1"), deduplicator.Granted)
+		successors[0].set(func() { successors[0].loseHandovers = true })
+		w.Expect(first.HandOver(context.Background())).To(Succeed())
+		time.Sleep(10 * time.Second)
+		second, next, _ := w.roles()
+		w.Expect(second.self).NotTo(Equal(first.self))
+		first.Settle(order("k", "t1"), deduplicator.OutcomeNotRun, nil)
+		time.Sleep(time.Second)
+		second.expect(order("k", "t2"), deduplicator.Granted)
+		next[0].set(func() { next[0].loseHandovers = false })
+		w.Expect(second.HandOver(context.Background())).To(Succeed())
+		second.Settle(order("k", "t2"), deduplicator.OutcomeComplete, []byte("ordered"))
+		time.Sleep(10 * time.Second)
+		third, _, _ := w.roles()
+		w.Expect(third.self).To(Equal(next[0].self))
+		w.Expect(third.expect(order("k", "t3"), deduplicator.Done)).To(Equal("ordered"))
+	})
+}
+
+// Guards against a successor that takes over with only a part of the claims.
+func TestPartialHandoverIsNotUsed(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, successors, _ := w.roles()
+		response, err := successors[0].ServeHandover(context.Background(), &peerv1.HandoverRequest{
+			Epoch: uint64(w.current().Epoch), Claims: []*peerv1.HandoverClaim{handedClaim()},
+		})
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(response.GetAccepted()).To(BeTrue())
+		time.Sleep(time.Second)
+		w.Expect(w.current().Owner).To(Equal(owner.self))
+		owner.set(func() { owner.cut, owner.paused = true, true })
+		time.Sleep(20 * time.Second)
+		successors[0].expect(order("other", "t2"), deduplicator.OwnerLost)
+	})
+}
+
+func handedClaim() *peerv1.HandoverClaim {
+	return &peerv1.HandoverClaim{
+		Service: "materials", Key: "k", Fingerprint: make([]byte, 16), Token: "t1", ExpiresInMs: int64(window),
+	}
+}
+
+// Guards against a key that is blocked, or run twice, because the answer to its claim was lost.
+func TestClaimAnswerLost(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, _, others := w.roles()
+		owner.set(func() { owner.loseClaims = 1 })
+		others[0].expect(order("once", "t1"), deduplicator.Granted)
+		owner.expect(order("once", "t2"), deduplicator.InProgress)
+
+		owner.set(func() { owner.loseClaims = 1000 })
+		others[0].expect(order("always", "t3"), undecided)
+		time.Sleep(time.Second)
+		owner.expect(order("always", "t4"), deduplicator.Granted)
+	})
+}
+
+// Guards against a late copy of a claim message that blocks a key after its arrival was refused.
+func TestLateClaimAfterRelease(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		owner, _, others := w.roles()
+		late := w.wire(order("k", "t1"))
+		owner.set(func() { owner.loseClaims = 1000 })
+		others[0].expect(order("k", "t1"), undecided)
+		time.Sleep(time.Minute)
+		owner.expectNotOwner(late)
+		owner.expect(order("k", "t2"), deduplicator.Granted)
+	})
+}
+
+// Guards against a caller that waits past its deadline for an owner that does not answer.
+func TestUnreachableOwner(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		simulate(t, 4, func(w *world) {
+			owner, _, others := w.roles()
+			owner.set(func() { owner.paused, owner.cut = silent, !silent })
+			deadline := w.clock.Now() + 500
+			_, _, ok := others[0].Claim(deadline, order("k", "t1"))
+			w.Expect(ok).To(BeFalse())
+			w.Expect(w.clock.Now()).To(BeNumerically("<", deadline))
+		})
+	}
+}
+
+// Guards against malformed messages that reach the state machines.
+func TestInvalidMessages(t *testing.T) {
+	c := claimer.New(claimer.Config{Clock: timer.NewManual(1, 1), ShardCount: 1})
+	defer c.Close()
+	ctx := context.Background()
+	claim := func(change func(*peerv1.ClaimRequest)) error {
+		request := &peerv1.ClaimRequest{Service: "s", Key: "k", Token: "t", Fingerprint: make([]byte, 16), Epoch: 1}
+		change(request)
+		_, err := c.ServeClaim(ctx, request)
+		return err
+	}
+	settle := func(outcome peerv1.SettleRequest_Outcome, size int) error {
+		_, err := c.ServeSettle(ctx, &peerv1.SettleRequest{
+			Service: "s", Key: "k", Token: "t", Epoch: 1, Outcome: outcome, Answer: make([]byte, size),
+		})
+		return err
+	}
+	handover := func(change func(*peerv1.HandoverRequest, *peerv1.HandoverClaim)) error {
+		request := &peerv1.HandoverRequest{Epoch: 1, Claims: []*peerv1.HandoverClaim{handedClaim()}}
+		change(request, request.Claims[0])
+		_, err := c.ServeHandover(ctx, request)
+		return err
+	}
+	promise := func(owner string, incarnation uint64, shards ...*peerv1.ShardEpoch) error {
+		_, err := c.ServePromise(ctx, &peerv1.PromiseRequest{Owner: owner, Incarnation: incarnation, Shards: shards})
+		return err
+	}
+	long := string(bytes.Repeat([]byte("x"), 300))
+	cases := map[string]error{
+		"short fingerprint":    claim(func(r *peerv1.ClaimRequest) { r.Fingerprint = r.Fingerprint[1:] }),
+		"long key":             claim(func(r *peerv1.ClaimRequest) { r.Key = long }),
+		"no token":             claim(func(r *peerv1.ClaimRequest) { r.Token = "" }),
+		"long service":         claim(func(r *peerv1.ClaimRequest) { r.Service = long }),
+		"shard out of range":   claim(func(r *peerv1.ClaimRequest) { r.Shard = 1 }),
+		"no epoch":             claim(func(r *peerv1.ClaimRequest) { r.Epoch = 0 }),
+		"no outcome":           settle(peerv1.SettleRequest_OUTCOME_UNSPECIFIED, 0),
+		"large answer":         settle(peerv1.SettleRequest_OUTCOME_COMPLETE, 17<<10),
+		"answer not run":       settle(peerv1.SettleRequest_OUTCOME_NOT_RUN, 1),
+		"handover to shard 9":  handover(func(r *peerv1.HandoverRequest, _ *peerv1.HandoverClaim) { r.Shard = 9 }),
+		"negative age":         handover(func(r *peerv1.HandoverRequest, _ *peerv1.HandoverClaim) { r.LostAgeMs = -1 }),
+		"expired claim":        handover(func(_ *peerv1.HandoverRequest, h *peerv1.HandoverClaim) { h.ExpiresInMs = 0 }),
+		"claim for ever":       handover(func(_ *peerv1.HandoverRequest, h *peerv1.HandoverClaim) { h.ExpiresInMs = 1 << 60 }),
+		"no fingerprint":       handover(func(_ *peerv1.HandoverRequest, h *peerv1.HandoverClaim) { h.Fingerprint = nil }),
+		"no owner":             promise("", 1),
+		"no incarnation":       promise("a", 0),
+		"promise for shard 9":  promise("a", 1, &peerv1.ShardEpoch{Shard: 9, Epoch: 1}),
+		"promise for no epoch": promise("a", 1, &peerv1.ShardEpoch{}),
+		"too many shards":      promise("a", 1, &peerv1.ShardEpoch{Epoch: 1}, &peerv1.ShardEpoch{Epoch: 1}),
+	}
+	for name, err := range cases {
+		NewWithT(t).Expect(connect.CodeOf(err)).To(Equal(connect.CodeInvalidArgument), "%s: %v", name, err)
+	}
+}
+
+// Guards against a checkpoint that is folded as a record, and against records or damage taken for a checkpoint.
+func TestCheckpoint(t *testing.T) {
+	simulate(t, 3, func(w *world) {
+		checkpoint, err := w.daemons[0].Checkpoint()
+		w.Expect(err).NotTo(HaveOccurred())
+		before := w.current()
+		folded, _ := w.daemons[0].Folded()
+		_, err = w.Append(context.Background(), appender.Ownership, checkpoint)
+		w.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		w.Expect(w.current()).To(Equal(before))
+		after, _ := w.daemons[1].Folded()
+		w.Expect(after).To(Equal(folded + 1))
+
+		restarted := claimer.New(claimer.Config{Clock: w.clock, ShardCount: 1})
+		defer restarted.Close()
+		w.Expect(restarted.Restore(w.log[0])).To(BeFalse())
+		w.Expect(restarted.Restore([]byte(`{"other":1}`))).To(BeFalse())
+		_, err = restarted.Restore([]byte(`{"next_offset":9,"shards":[{"current":{"epoch":3}}]}`))
+		w.Expect(err).To(HaveOccurred())
+		w.Expect(restarted.Restore(checkpoint)).To(BeTrue())
+		restored, _ := restarted.Folded()
+		w.Expect(restored).To(Equal(folded))
+		again, err := restarted.Checkpoint()
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(again).To(MatchJSON(checkpoint))
+	})
+}
--- /dev/null
+++ b/internal/coordination/claimer/inbox.go
@@ -0,0 +1,103 @@
+package claimer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// incomingSpan is how long a handover may pause between two messages.
+const incomingSpan = 30 * timer.Second
+
+// incoming is a handover of one shard to this daemon.
+type incoming struct {
+	epoch  identifier.Epoch
+	claims map[deduplicator.Key]deduplicator.Claim
+	// answerBytes counts the answers in claims.
+	answerBytes int
+	touched     timer.Millis
+	// done is set once the claims were imported.
+	done bool
+}
+
+// inbox collects the messages of handovers until they are complete. It is not
+// safe for concurrent use.
+type inbox struct {
+	shards map[identifier.Shard]*incoming
+}
+
+func newInbox() *inbox { return &inbox{shards: map[identifier.Shard]*incoming{}} }
+
+// add keeps claims until take and reports whether there was room. A message that
+// is repeated has no further effect, since the sender's claims do not change
+// during a handover.
+func (i *inbox) add(now timer.Millis, shard identifier.Shard, epoch identifier.Epoch, claims []deduplicator.Claim) bool {
+	total, answerBytes := 0, 0
+	for _, in := range i.shards {
+		total += len(in.claims)
+		answerBytes += in.answerBytes
+	}
+	in := i.shards[shard]
+	if in == nil || in.epoch != epoch {
+		in = &incoming{epoch: epoch, claims: map[deduplicator.Key]deduplicator.Claim{}}
+		i.shards[shard] = in
+	}
+	in.touched = now
+	for _, claim := range claims {
+		if _, found := in.claims[claim.Key]; found {
+			continue
+		}
+		if total >= deduplicator.MaxClaims {
+			return false
+		}
+		// A claim without its answer still keeps the request from running.
+		if answerBytes+len(claim.Answer) > deduplicator.MaxTotalAnswerBytes {
+			claim.Answer = nil
+		}
+		in.claims[claim.Key] = claim
+		in.answerBytes += len(claim.Answer)
+		answerBytes += len(claim.Answer)
+		total++
+	}
+	return true
+}
+
+// isDone reports whether the claims of an epoch were imported.
+func (i *inbox) isDone(shard identifier.Shard, epoch identifier.Epoch) bool {
+	in := i.shards[shard]
+	return in != nil && in.epoch == epoch && in.done
+}
+
+// take returns the collected claims of an epoch in the order of their expiry.
+func (i *inbox) take(shard identifier.Shard, epoch identifier.Epoch) []deduplicator.Claim {
+	in := i.shards[shard]
+	if in == nil || in.epoch != epoch {
+		return nil
+	}
+	delete(i.shards, shard)
+	return slices.SortedFunc(maps.Values(in.claims), func(a, b deduplicator.Claim) int {
+		return int(a.ExpiresAt - b.ExpiresAt)
+	})
+}
+
+// setDone notes that the claims of an epoch were imported.
+func (i *inbox) setDone(shard identifier.Shard, epoch identifier.Epoch) {
+	i.shards[shard] = &incoming{epoch: epoch, done: true}
+}
+
+// drop forgets a shard and reports whether claims of it were imported.
+func (i *inbox) drop(shard identifier.Shard) bool {
+	in := i.shards[shard]
+	delete(i.shards, shard)
+	return in != nil && in.done
+}
+
+// expire drops handovers that were not completed.
+func (i *inbox) expire(now timer.Millis) {
+	maps.DeleteFunc(i.shards, func(_ identifier.Shard, in *incoming) bool {
+		return !in.done && now-in.touched >= incomingSpan
+	})
+}
--- /dev/null
+++ b/internal/coordination/claimer/settle.go
@@ -0,0 +1,169 @@
+package claimer
+
+import (
+	"bytes"
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// settleSpan bounds the tries to report an outcome. It covers a handover and
+	// the time until this daemon has read of the new owner.
+	settleSpan    = 5 * timer.Second
+	settleTimeout = 500 * timer.Millis(1)
+	// Pauses between tries double from the first to the last.
+	firstSettlePause = 50 * timer.Millis(1)
+	lastSettlePause  = 800 * timer.Millis(1)
+	// maxSettling bounds the reports under way while an owner does not answer.
+	// With the largest answers they take 16 MB.
+	maxSettling = 1024
+)
+
+// settlement is a report of how a claimed request ended.
+type settlement struct {
+	key     deduplicator.Key
+	shard   identifier.Shard
+	token   deduplicator.Token
+	outcome deduplicator.Outcome
+	answer  []byte
+}
+
+var outcomes = map[peerv1.SettleRequest_Outcome]deduplicator.Outcome{
+	peerv1.SettleRequest_OUTCOME_COMPLETE: deduplicator.OutcomeComplete,
+	peerv1.SettleRequest_OUTCOME_NOT_RUN:  deduplicator.OutcomeNotRun,
+	peerv1.SettleRequest_OUTCOME_UNKNOWN:  deduplicator.OutcomeUnknown,
+}
+
+var wireOutcomes = map[deduplicator.Outcome]peerv1.SettleRequest_Outcome{
+	deduplicator.OutcomeComplete: peerv1.SettleRequest_OUTCOME_COMPLETE,
+	deduplicator.OutcomeNotRun:   peerv1.SettleRequest_OUTCOME_NOT_RUN,
+	deduplicator.OutcomeUnknown:  peerv1.SettleRequest_OUTCOME_UNKNOWN,
+}
+
+// Settle reports to the owner how a claimed request ended. It does not wait: a
+// report to another daemon is repeated in the background for a few seconds and
+// then dropped, since an unsettled claim counts as unknown. The answer is copied.
+func (c *Claimer) Settle(request deduplicator.Request, outcome deduplicator.Outcome, answer []byte) {
+	// An unsettled claim already counts as unknown.
+	if outcome == deduplicator.OutcomeUnknown {
+		return
+	}
+	s := settlement{key: request.Key, shard: c.shardOf(request.Key), token: request.Token, outcome: outcome}
+	if outcome == deduplicator.OutcomeComplete && len(answer) <= deduplicator.MaxAnswerBytes {
+		s.answer = bytes.Clone(answer)
+	}
+	if !c.settleOrSpawn(s) {
+		c.config.Logger.Warn("outcome of a claim dropped", "shard", s.shard, "limit", maxSettling)
+	}
+}
+
+// settleOrSpawn records an outcome as owner or starts to report it. It reports
+// false if too many reports are under way.
+func (c *Claimer) settleOrSpawn(s settlement) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.settleOwn(c.ownership.Current(s.shard).Epoch, s) {
+		return true
+	}
+	if c.settling >= maxSettling {
+		return false
+	}
+	c.settling++
+	c.spawn(func() {
+		c.report(s)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.settling--
+	})
+	return true
+}
+
+// report sends an outcome to whoever owns the shard until one accepts it.
+func (c *Claimer) report(s settlement) {
+	end := c.config.Clock.Now() + settleSpan
+	for pause := firstSettlePause; c.config.Clock.Now() < end && c.ctx.Err() == nil; pause = min(2*pause, lastSettlePause) {
+		if c.reportOnce(s) {
+			return
+		}
+		sleep(c.ctx, pause)
+	}
+	c.config.Logger.Debug("outcome of a claim not reported", "shard", s.shard)
+}
+
+func (c *Claimer) reportOnce(s settlement) bool {
+	owner, epoch := c.owner(s.shard)
+	if epoch == 0 {
+		return false
+	}
+	if owner == c.config.Self {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.settleOwn(epoch, s)
+	}
+	peer, found := c.config.Peer(owner)
+	if !found {
+		return false
+	}
+	_, err := call(c.ctx, settleTimeout, peer.Settle, &peerv1.SettleRequest{
+		Service: string(s.key.Service), Key: string(s.key.Key), Shard: uint32(s.shard), Epoch: uint64(epoch),
+		Token: string(s.token), Outcome: wireOutcomes[s.outcome], Answer: s.answer,
+	})
+	return err == nil
+}
+
+// settleOwn records an outcome as owner and reports whether it could. An owner
+// that gave its claims away must refuse, since the report would be lost. An
+// earlier epoch of the same owner is accepted: it kept its claims. The caller
+// holds the lock.
+func (c *Claimer) settleOwn(epoch identifier.Epoch, s settlement) bool {
+	current := c.ownership.Current(s.shard)
+	if current.Epoch == 0 || current.Owner != c.config.Self || epoch > current.Epoch || c.given[s.shard] == current.Epoch {
+		return false
+	}
+	c.claims.Settle(s.key, s.token, s.outcome, s.answer)
+	if s.outcome == deduplicator.OutcomeNotRun {
+		c.released.add(c.config.Clock.Now(), s.token)
+	}
+	return true
+}
+
+// ServeSettle answers Peer.Settle as the owner of a shard.
+func (c *Claimer) ServeSettle(ctx context.Context, req *peerv1.SettleRequest) (*peerv1.SettleResponse, error) {
+	s, err := c.decodeSettle(req)
+	if err != nil {
+		return nil, invalid(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.available(ctx); err != nil {
+		return nil, err
+	}
+	if !c.settleOwn(identifier.Epoch(req.GetEpoch()), s) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, Error.New("this daemon does not own shard %d", s.shard))
+	}
+	return &peerv1.SettleResponse{}, nil
+}
+
+func (c *Claimer) decodeSettle(req *peerv1.SettleRequest) (settlement, error) {
+	outcome, known := outcomes[req.GetOutcome()]
+	s := settlement{
+		key: keyOf(req.GetService(), req.GetKey()), shard: identifier.Shard(req.GetShard()),
+		token: deduplicator.Token(req.GetToken()), outcome: outcome, answer: req.GetAnswer(),
+	}
+	if !known {
+		return s, Error.New("outcome %d is not known", req.GetOutcome())
+	}
+	if err := c.checkEpoch(req.GetShard(), req.GetEpoch()); err != nil {
+		return s, err
+	}
+	if err := c.checkKey(req.GetService(), req.GetKey(), req.GetToken(), s.shard); err != nil {
+		return s, err
+	}
+	return s, checkAnswer(s.answer, outcome == deduplicator.OutcomeComplete)
+}
--- /dev/null
+++ b/internal/coordination/claimer/stream.go
@@ -0,0 +1,113 @@
+package claimer
+
+import (
+	"encoding/json"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+// maxSuccessors is the number of successors that the lease has room for.
+const maxSuccessors = 2
+
+// checkpointHead is the part of a checkpoint that is checked before a restore.
+type checkpointHead struct {
+	Next   *identifier.Offset `json:"next_offset"`
+	Shards []struct {
+		Current deduplicator.Record `json:"current"`
+	} `json:"shards"`
+}
+
+// Apply folds a record of the ownership stream. Checkpoints and records that
+// cannot be decoded advance the fold and have no other effect.
+func (c *Claimer) Apply(offset identifier.Offset, payload []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	effective, err := c.ownership.Apply(offset, payload)
+	for _, record := range effective {
+		c.folded(record)
+	}
+	return Error.Wrap(err)
+}
+
+// Restore replaces the fold by a checkpoint that covers a higher offset. It
+// reports false without an error for a payload that is not a checkpoint.
+func (c *Claimer) Restore(payload []byte) (bool, error) {
+	var head checkpointHead
+	if json.Unmarshal(payload, &head) != nil || head.Next == nil || len(head.Shards) == 0 {
+		return false, nil
+	}
+	if err := head.check(); err != nil {
+		return false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	epochs := make([]identifier.Epoch, c.ownership.Count())
+	for i := range epochs {
+		epochs[i] = c.ownership.Current(identifier.Shard(i)).Epoch
+	}
+	restored, err := c.ownership.Restore(payload)
+	if !restored || err != nil {
+		return false, Error.Wrap(err)
+	}
+	// deduplicator.Restored would also reset shards whose epoch did not change.
+	// A successor with a takeover on its way to the log would then promise
+	// again, and the takeover would make it a second owner.
+	for i, before := range epochs {
+		if current := c.ownership.Current(identifier.Shard(i)); current.Epoch != before {
+			c.folded(current)
+		}
+	}
+	return true, nil
+}
+
+// Folded returns the offset of the last folded record, or false if nothing has
+// been folded or restored.
+func (c *Claimer) Folded() (identifier.Offset, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ownership.Next() == 0 {
+		return 0, false
+	}
+	return c.ownership.Next() - 1, true
+}
+
+// Checkpoint encodes the fold as a record for the ownership stream. Records are
+// JSON arrays and a checkpoint is a JSON object, so Apply skips it.
+func (c *Claimer) Checkpoint() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	payload, err := c.ownership.Checkpoint()
+	return payload, Error.Wrap(err)
+}
+
+// folded handles a record that took effect. The caller holds the lock.
+func (c *Claimer) folded(record deduplicator.Record) {
+	now := c.config.Clock.Now()
+	c.perform(now, c.lease.Step(now, deduplicator.Folded{Record: record}, nil))
+	if record.Kind != deduplicator.KindOwn {
+		return
+	}
+	delete(c.given, record.Shard)
+	delete(c.appends, record.Shard)
+	// Claims that were handed to this daemon are of use only to the next owner.
+	// Left in the table they would hide claims of a later handover.
+	if c.inbox.drop(record.Shard) && record.Owner != c.config.Self {
+		c.claims.End(record.Shard)
+	}
+}
+
+// check refuses a checkpoint with records that no fold produces.
+func (h checkpointHead) check() error {
+	for i, shard := range h.Shards {
+		current := shard.Current
+		if current.Epoch == 0 {
+			continue
+		}
+		if current.Kind != deduplicator.KindOwn || int(current.Shard) != i || current.Owner.Instance == "" ||
+			current.Epoch != current.BasedOnEpoch+1 || len(current.Successors) > maxSuccessors {
+			return Error.New("checkpoint has an invalid record of shard %d", i)
+		}
+	}
+	return nil
+}
