--- a/internal/coordination/claimer/stream.go
+++ b/internal/coordination/claimer/stream.go
@@ -50,7 +50,7 @@
 	if !restored || err != nil {
 		return false, Error.Wrap(err)
 	}
-	// deduplicator.Restored would also reset shards whose epoch did not change.
+	// A shard whose epoch did not change keeps its promises and takeovers.
 	// A successor with a takeover on its way to the log would then promise
 	// again, and the takeover would make it a second owner.
 	for i, before := range epochs {
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -13,10 +13,9 @@
 	tickInterval  = 50 * timer.Millis(1)
 	claimInterval = 100 * timer.Millis(1)
 	peersInterval = 30 * timer.Second
-	// ownershipFresh is the age up to which the end of the ownership stream
-	// counts as just read. A quiet stream is confirmed by each long poll, which
-	// takes up to 2 s behind a relay; the margin between the spans of the lease
-	// is 10 s.
+	// ownershipFresh is the age up to which the end of the ownership stream is
+	// reported. A quiet stream is confirmed by each long poll, which takes up to
+	// 2 s behind a relay.
 	ownershipFresh = 4 * timer.Second
 )
 
@@ -48,8 +47,8 @@
 }
 
 func (d *daemon) tickClaims() {
-	if d.followers[appender.Ownership].ConfirmedAge() < ownershipFresh {
-		d.claimer.Confirmed()
+	if age := d.followers[appender.Ownership].ConfirmedAge(); age < ownershipFresh {
+		d.claimer.ConfirmedAt(d.clock.Now() - age)
 	}
 	d.claimer.Tick()
 }
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/claimer"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
@@ -23,6 +24,7 @@
 	// confirmedRecently is the age up to which the end of a stream counts as
 	// confirmed.
 	confirmedRecently = 5 * timer.Second
+	claimantsInterval = timer.Second
 	// maxSnapshotPeers bounds the daemons that are asked for a snapshot.
 	maxSnapshotPeers = 8
 )
@@ -234,10 +236,14 @@
 	d.ingress.Report(instance, load)
 }
 
-// claimants lists the daemons that can own key shards.
-func (d *daemon) claimants() []deduplicator.Member {
-	var members []deduplicator.Member
+// claimants lists the daemons that can own key shards. The list is made once a
+// second at most, since it holds every member.
+func (d *daemon) claimants() deduplicator.Members {
 	now := d.clock.Now()
+	if d.listed.List != nil && now-d.listedAt < claimantsInterval {
+		return d.listed
+	}
+	members := make([]deduplicator.Member, 0, len(d.listed.List)+1)
 	d.membership.Read(func(t *tracker.Tracker) {
 		for m := range t.Members() {
 			if m.Instance == d.settings.Node {
@@ -251,14 +257,17 @@
 			}
 		}
 	})
-	return members
+	d.listed, d.listedAt = deduplicator.Members{List: members}, now
+	return d.listed
 }
 
-func (d *daemon) addressOf(instance identifier.InstanceID) (identifier.Address, bool) {
-	if m, found := d.membership.Lookup(instance); found {
-		return m.Peer, true
+// claimPeer returns the client for a daemon that owns or follows key shards.
+func (d *daemon) claimPeer(c deduplicator.Claimant) (claimer.Peer, bool) {
+	m, found := d.membership.Lookup(c.Instance)
+	if !found {
+		return nil, false
 	}
-	return "", false
+	return d.peers.Client(m.Peer), true
 }
 
 // every calls a function at an interval until the context ends.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,6 +58,10 @@
 	spread        *quarantineSpread
 	publisher     manager.Publisher
 
+	// listed is what claimants last returned; only the claim loop uses it.
+	listed   deduplicator.Members
+	listedAt timer.Millis
+
 	mu       sync.Mutex
 	revision uint32
 	joined   bool
@@ -147,8 +151,8 @@
 func (d *daemon) newClaimer() *claimer.Claimer {
 	return claimer.New(claimer.Config{
 		Self:   deduplicator.Claimant{Instance: d.settings.Node, Incarnation: d.incarnation},
-		Shards: uint32(d.settings.KeyShards), Clock: d.clock, Log: d.log, Logger: d.logger,
-		Peer: d.peers.Client, Members: d.claimants, Address: d.addressOf, Window: d.window,
+		ShardCount: uint32(d.settings.KeyShards), Clock: d.clock, Log: d.log, Logger: d.logger,
+		Peer: d.claimPeer, Members: d.claimants, Window: d.window,
 	})
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -20,8 +20,8 @@
 	settleTime = 500 * timer.Millis(1)
 )
 
-// stop is the graceful stop: no new work, leave, finish what runs, hand over
-// key ownership, close idle connections.
+// stop is the graceful stop: hand over key ownership, leave, refuse new work,
+// finish what runs, close idle connections.
 func (d *daemon) stop(s *servers) {
 	d.mu.Lock()
 	d.stopping = true
@@ -30,6 +30,7 @@
 	d.logger.Info("stopping", "requests_in_flight", d.ingress.InFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout.Duration())
 	defer cancel()
+	d.handOver(ctx)
 	if joined {
 		leaving, done := context.WithTimeout(ctx, leaveTimeout.Duration())
 		if err := d.announcer.Leave(leaving); err != nil {
@@ -48,13 +49,21 @@
 	for d.ingress.InFlight() > 0 && ctx.Err() == nil {
 		time.Sleep(stopPoll.Duration())
 	}
-	handing, done := context.WithTimeout(ctx, handoverTimeout.Duration())
-	d.claimer.HandOver(handing)
-	done()
+	// An epoch that was on its way during the first handover is given away too.
+	d.handOver(ctx)
 	d.close(ctx, s)
 	d.logger.Info("stopped", "requests_in_flight", d.ingress.InFlight())
 }
 
+// handOver gives the key shards away while other daemons still know this one.
+func (d *daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout.Duration())
+	defer cancel()
+	if err := d.claimer.HandOver(ctx); err != nil {
+		d.logger.Warn("key shards not handed over", "error", err.Error())
+	}
+}
+
 func (d *daemon) close(ctx context.Context, s *servers) {
 	for _, server := range []interface{ ShutdownWithContext(context.Context) error }{s.ingress, s.peer, s.local} {
 		if err := server.ShutdownWithContext(ctx); err != nil {
--- a/internal/state/deduplicator/event.go
+++ b/internal/state/deduplicator/event.go
@@ -14,9 +14,6 @@
 // Folded tells that a record of the ownership stream took effect.
 type Folded struct{ Record Record }
 
-// Restored tells that the fold was replaced by a checkpoint.
-type Restored struct{}
-
 // LogConfirmed tells that the ownership stream was read to its end.
 type LogConfirmed struct{}
 
@@ -60,7 +57,6 @@
 
 func (Tick) isEvent()            {}
 func (Folded) isEvent()          {}
-func (Restored) isEvent()        {}
 func (LogConfirmed) isEvent()    {}
 func (PromiseAnswered) isEvent() {}
 func (Appended) isEvent()        {}
--- a/internal/state/deduplicator/lease.go
+++ b/internal/state/deduplicator/lease.go
@@ -21,7 +21,7 @@
 	// logFresh is how recently the log must have been read to its end before a
 	// takeover is tried. A successor that appended can give no promise until
 	// the log has decided, so it does not try while the log is down.
-	logFresh = 3 * timer.Second
+	logFresh = 5 * timer.Second
 	// goneTimeout is how long owner and successors must be missing from the
 	// membership before another daemon announces an intent.
 	goneTimeout = 30 * timer.Second
@@ -76,10 +76,6 @@
 		return l.tick(now, actions)
 	case Folded:
 		return l.folded(now, e.Record, actions)
-	case Restored:
-		for i := range l.shards {
-			actions = l.folded(now, l.ownership.Current(identifier.Shard(i)), actions)
-		}
 	case LogConfirmed:
 		l.logConfirmed, l.logSeen = now, true
 	case Members:
