--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -150,7 +150,7 @@
 
 func (d *daemon) newClaimer() *claimer.Claimer {
 	return claimer.New(claimer.Config{
-		Self:   deduplicator.Claimant{Instance: d.settings.Node, Incarnation: d.incarnation},
+		Self:       deduplicator.Claimant{Instance: d.settings.Node, Incarnation: d.incarnation},
 		ShardCount: uint32(d.settings.KeyShards), Clock: d.clock, Log: d.log, Logger: d.logger,
 		Peer: d.claimPeer, Members: d.claimants, Window: d.window,
 	})
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -43,7 +43,7 @@
 }
 
 func newConnection(conn net.Conn) net.Conn {
-	c := &connection{Conn: conn, lastUsed: time.Now()}
+	c := &connection{Conn: conn, phase: phaseIdle, lastUsed: time.Now()}
 	c.address = connectionAddr{conn.LocalAddr(), c}
 	if source, ok := conn.(syscall.Conn); ok {
 		c.raw, _ = source.SyscallConn()
--- a/internal/transport/forwarder/forwarder_test.go
+++ b/internal/transport/forwarder/forwarder_test.go
@@ -27,7 +27,7 @@
 	requests atomic.Int64
 	answer   string
 	hang     bool
-	// closeAfter closes each connection this long after its answer.
+	// keepOpen keeps a connection open after an answer.
 	keepOpen bool
 }
 
--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -29,7 +29,6 @@
 	address string
 	mu      sync.Mutex
 	runs    map[string]int
-	crashed atomic.Bool
 }
 
 func startBackend() *backend {
