--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -61,8 +61,10 @@
 	quarantiner  *quarantiner.Quarantiner
 	waiting      map[identifier.AttemptID]chan decision
 	announcement Announcement
-	backend      *forwarder.Forwarder
-	spread       []quarantiner.Entry
+	// applied is the configuration version that the admitter was given last.
+	applied identifier.Version
+	backend *forwarder.Forwarder
+	spread  []quarantiner.Entry
 	// wokeAt is when the process was last found to have been paused.
 	wokeAt       timer.Millis
 	awaitContact bool
@@ -105,11 +107,7 @@
 		}
 		break
 	}
-	now := a.config.Clock.Now()
-	attempt.Remaining -= now - started
-	a.mu.Lock()
-	a.refresh(now)
-	a.mu.Unlock()
+	attempt.Remaining -= a.config.Clock.Now() - started
 	return attempt
 }
 
@@ -117,6 +115,9 @@
 func (a *Admission) admit(attempt encoder.Attempt, fingerprint identifier.Fingerprint) decision {
 	a.mu.Lock()
 	now := a.config.Clock.Now()
+	if attempt.Version > a.applied {
+		a.refresh(now)
+	}
 	switch a.fencer.Arrive(now, attempt.ID) {
 	case fencer.Fenced:
 		a.mu.Unlock()
@@ -230,6 +231,7 @@
 	wall := a.config.Clock.Wall()
 	limits, found := view.Schedule.Limits(wall, a.announcement.Service)
 	if found {
+		a.applied = view.Version
 		a.step(now, admitter.Limits{
 			Version: view.Version, MaxInFlight: int(limits.MaxInFlight), MaxQueue: int(limits.MaxQueue),
 			ColdLimit: int(limits.ColdLimit), RampCompletions: int(limits.RampCompletions), MaxTimeout: limits.MaxTimeout,
