--- a/internal/commander/sheet.go
+++ b/internal/commander/sheet.go
@@ -134,6 +134,8 @@
 			return err
 		}
 		return &exitError{exitRejected, Error.New("rejected: %s (version in force %d, change %s)", answer.Reason, answer.Version, answer.ChangeId)}
+	case administrator.PublishChangeResponse_RESULT_NOT_PUBLISHED:
+		return Error.New("not published: %s; repeat with --id %s", answer.Reason, answer.ChangeId)
 	case administrator.PublishChangeResponse_RESULT_UNKNOWN, administrator.PublishChangeResponse_RESULT_UNSPECIFIED:
 	}
 	return Error.New("outcome unknown: %s; repeat with --id %s", answer.Reason, answer.ChangeId)
--- a/internal/coordination/holder/configuration.go
+++ b/internal/coordination/holder/configuration.go
@@ -16,6 +16,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/publisher"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -100,9 +101,22 @@
 	return c.reducer.Audit(limit), c.reducer.OldestAudited()
 }
 
-// Fate returns what became of a change; found is false if it was not folded or
-// has left the audit trail.
-func (c *Configuration) Fate(id identifier.ChangeID) (entry reducer.AuditEntry, found bool) {
+// Fate tells whether a folded change was accepted; found is false if it was not
+// folded or has left the audit trail.
+func (c *Configuration) Fate(id identifier.ChangeID) (fate publisher.Fate, found bool) {
+	entry, found := c.Entry(id)
+	switch {
+	case !found:
+		return publisher.Unknown, false
+	case entry.Result == reducer.ResultAccepted:
+		return publisher.Accepted, true
+	}
+	return publisher.Rejected, true
+}
+
+// Entry returns the audit entry of a change; found is false if it was not
+// folded or has left the audit trail.
+func (c *Configuration) Entry(id identifier.ChangeID) (entry reducer.AuditEntry, found bool) {
 	entries, _ := c.Audit(math.MaxInt)
 	for _, entry := range entries {
 		if entry.ChangeID == id {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,11 +18,11 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/claimer"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/publisher"
 	"github.com/magnoliaknot/magnoliaknot/internal/loader"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
-	"github.com/magnoliaknot/magnoliaknot/internal/transport/manager"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/prober"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -56,7 +56,7 @@
 	announcer     *announcer.Announcer
 	followers     map[appender.Stream]*follower.Follower
 	spread        *quarantineSpread
-	publisher     manager.Publisher
+	publisher     *publisher.Publisher
 
 	// listed is what claimants last returned; only the claim loop uses it.
 	listed   deduplicator.Members
@@ -109,7 +109,7 @@
 		measuring: receiver.NewMeasuring(clock),
 	}
 	d.spread = newQuarantineSpread(d)
-	d.publisher = simplePublisher{d}
+	d.publisher = publisher.New(publisher.Config{Log: d.log, Lookup: d.configuration})
 	d.claimer = d.newClaimer()
 	d.followers = d.newFollowers()
 	d.announcer = d.newAnnouncer()
--- a/internal/transport/manager/manager.go
+++ b/internal/transport/manager/manager.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 
 	"connectrpc.com/connect"
@@ -18,6 +19,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/authenticator"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/publisher"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
 	"github.com/magnoliaknot/magnoliaknot/pkg/administrator"
 	"github.com/magnoliaknot/magnoliaknot/pkg/administrator/administratorconnect"
@@ -37,9 +39,7 @@
 
 // Publisher appends a change and finds out what became of it.
 type Publisher interface {
-	// Publish returns the audit entry of the change. The error says that the
-	// outcome is not known.
-	Publish(ctx context.Context, id identifier.ChangeID, payload []byte) (reducer.AuditEntry, error)
+	Publish(ctx context.Context, id identifier.ChangeID, payload []byte) (publisher.Fate, error)
 }
 
 // Config holds what the API needs.
@@ -107,7 +107,7 @@
 	if !reducer.IsToken(answer.ChangeId) {
 		return nil, connect.NewError(connect.CodeInvalidArgument, Error.New("change id is not 1 to 64 visible ASCII characters"))
 	}
-	if entry, found := m.config.Configuration.Fate(id); found {
+	if entry, found := m.config.Configuration.Entry(id); found {
 		return fill(answer, entry), nil
 	}
 	if request.BaseVersion != 0 && identifier.Version(request.BaseVersion) != view.Version {
@@ -135,15 +135,23 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, Error.Wrap(err))
 	}
-	entry, err := m.config.Publisher.Publish(ctx, change.ID, payload)
+	fate, err := m.config.Publisher.Publish(ctx, change.ID, payload)
+	m.config.Logger.Info("change published", "change_id", change.ID, "operator", change.Operator, "fate", fate.String(), "cause", fmt.Sprint(err))
 	if err != nil {
-		m.config.Logger.Warn("outcome of a change is unknown", "change_id", change.ID, "operator", change.Operator, "error", err.Error())
-		answer.Result = administrator.PublishChangeResponse_RESULT_UNKNOWN
 		answer.Reason = err.Error()
+	}
+	switch fate {
+	case publisher.Accepted, publisher.Rejected:
+		if entry, found := m.config.Configuration.Entry(change.ID); found {
+			return fill(answer, entry), nil
+		}
+	case publisher.Absent:
+		answer.Result = administrator.PublishChangeResponse_RESULT_NOT_PUBLISHED
 		return answer, nil
+	case publisher.Unknown:
 	}
-	m.config.Logger.Info("change published", "change_id", change.ID, "operator", change.Operator, "result", entry.Result, "version", entry.Version)
-	return fill(answer, entry), nil
+	answer.Result = administrator.PublishChangeResponse_RESULT_UNKNOWN
+	return answer, nil
 }
 
 func fill(answer *administrator.PublishChangeResponse, entry reducer.AuditEntry) *administrator.PublishChangeResponse {
