Quarantine a request only after the second crash, and tell crashes apart

A broken connection is now a crash only if the backend server then refuses connections or has a new incarnation, and a first crash only makes suspects. A daemon whose neighbours do not answer asks three members elsewhere, so that the last daemon of a failure domain is not isolated while the log is down.

--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +26,12 @@
 	// confirmed.
 	confirmedRecently = 5 * timer.Second
 	claimantsInterval = timer.Second
+	// longPoll bounds the time from a question about a stream to its answer.
+	longPoll = 3 * timer.Second
+	// distantAfter is the time without an answer of a neighbour after which
+	// distantPings other members are asked.
+	distantAfter = 2 * timer.Second
+	distantPings = 3
 	// maxSnapshotPeers bounds the daemons that are asked for a snapshot.
 	maxSnapshotPeers = 8
 )
@@ -203,7 +210,34 @@
 		for _, m := range watched {
 			go d.ping(ctx, m)
 		}
+		if d.clock.Now()-timer.Millis(d.reachedAt.Load()) > distantAfter {
+			for _, m := range d.distant() {
+				go d.ping(ctx, m)
+			}
+		}
+	})
+}
+
+// distant returns a few random members. They are asked when no neighbour
+// answers, since a daemon whose whole failure domain is gone is not isolated
+// while others answer.
+func (d *daemon) distant() []tracker.Member {
+	var members []tracker.Member
+	seen := 0
+	d.membership.Read(func(t *tracker.Tracker) {
+		for m := range t.Members() {
+			if m.Instance == d.settings.Node {
+				continue
+			}
+			// Reservoir sampling (Vitter, algorithm R).
+			if seen++; len(members) < distantPings {
+				members = append(members, m)
+			} else if i := rand.IntN(seen); i < distantPings {
+				members[i] = m
+			}
+		}
 	})
+	return members
 }
 
 func (d *daemon) ping(ctx context.Context, m tracker.Member) {
@@ -214,19 +248,19 @@
 		Instance: string(d.settings.Node), Incarnation: uint64(d.incarnation),
 	})
 	alive := err == nil && answer.Instance == string(m.Instance)
-	if ctx.Err() == nil || alive {
-		if alive {
-			d.admission.Contact(askedAt)
-		}
+	if alive {
+		d.reachedAt.Store(int64(d.clock.Now()))
+		d.admission.Contact(askedAt)
 	}
 	d.observe(tracker.Observed{Instance: m.Instance, Alive: alive})
 }
 
-// contact tells admission that a stream answered.
+// contact tells admission that a stream answered. The question was asked up to
+// a long poll earlier.
 func (d *daemon) contact() {
 	for _, f := range d.followers {
 		if age := f.ContactAge(); age < watchInterval {
-			d.admission.Contact(d.clock.Now() - age - confirmedRecently)
+			d.admission.Contact(d.clock.Now() - age - longPoll)
 			return
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/zeebo/errs"
 
@@ -62,6 +63,9 @@
 	listed   deduplicator.Members
 	listedAt timer.Millis
 
+	// reachedAt is when another daemon last answered, in ms of the clock.
+	reachedAt atomic.Int64
+
 	mu       sync.Mutex
 	revision uint32
 	joined   bool
--- a/internal/state/quarantiner/event.go
+++ b/internal/state/quarantiner/event.go
@@ -18,7 +18,8 @@
 
 // Crash says that the backend server died with requests running. One running
 // request counts as solo unless Uncertain is set, which means that something
-// else may have caused the crash.
+// else may have caused the crash. A first crash makes suspects, the crash of a
+// suspect that ran solo quarantines it.
 type Crash struct {
 	Running   []Running
 	Uncertain bool
--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -109,6 +109,9 @@
 	return actions
 }
 
+// crash makes the running requests suspects. A suspect that ran alone is
+// quarantined: one crash may have another cause, such as a lost VM, and the
+// fingerprint of a popular request must not be refused for that.
 func (q *Quarantiner) crash(wall timer.Millis, e Crash, actions []Action) []Action {
 	alone := !e.Uncertain && same(e.Running)
 	for _, r := range e.Running {
@@ -116,7 +119,8 @@
 			continue
 		}
 		entry := Entry{Fingerprint: r.Fingerprint, Kind: Suspect, Expires: wall + q.config.Period}
-		if r.Solo || alone {
+		before, _ := q.Verdict(wall, r.Fingerprint)
+		if before != Run && (r.Solo || alone) {
 			entry.Kind = Quarantined
 		} else {
 			entry.Expires = max(entry.Expires, q.table[r.Fingerprint][Cleared]+1)
--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -20,6 +20,9 @@
 	backendConnectTimeout = timer.Second
 	// backendMaxIdle is shorter than the idle timeout of common HTTP servers.
 	backendMaxIdle = 1500 * timer.Millis(1)
+	// crashCheckDelay lets the sockets of a dying process close before the check.
+	crashCheckDelay   = 20 * timer.Millis(1)
+	crashCheckTimeout = 200 * timer.Millis(1)
 	// configurationWait bounds the wait for a configuration version that the
 	// sender of an attempt has and this daemon has not.
 	configurationWait = 300 * timer.Millis(1)
--- a/internal/transport/receiver/forward.go
+++ b/internal/transport/receiver/forward.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"net"
 	"strconv"
 	"time"
 
@@ -45,6 +46,9 @@
 	result := backend.Send(request, response, d.remaining)
 	latency := time.Since(started)
 	ended := outcomeOf(result, response.StatusCode())
+	if ended == admitter.Crashed && !a.died() {
+		ended = admitter.Failed
+	}
 	if d.solo {
 		a.clear(fingerprint, ended)
 	}
@@ -57,6 +61,24 @@
 	response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 }
 
+// died tells whether the backend server refuses connections after it broke one.
+// A server that closes a single connection has not crashed, and its requests
+// are not suspects.
+func (a *Admission) died() bool {
+	a.mu.Lock()
+	address, incarnation := a.announcement.Address, a.announcement.Incarnation
+	a.mu.Unlock()
+	time.Sleep(crashCheckDelay.Duration())
+	conn, err := net.DialTimeout("tcp", string(address), crashCheckTimeout.Duration())
+	if err != nil {
+		return true
+	}
+	_ = conn.Close() // Opened only to see whether it can be.
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.announcement.Incarnation != incarnation
+}
+
 // complete marks a backend server's answer as whole.
 func (a *Admission) complete(ctx *fasthttp.RequestCtx, attempt encoder.Attempt) {
 	header := &ctx.Response.Header
