Remove a sheet field without meaning and apply the class's connections

The field unbounded had no effect anywhere. The number of connections to a backend server is now the lower of its announcement and its class.

--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -339,7 +339,7 @@
 	old := a.announcement
 	if announcement.Address != old.Address || announcement.Connections != old.Connections {
 		a.backend = forwarder.New(forwarder.Config{
-			Address: announcement.Address, MaxConnections: announcement.Connections,
+			Address: announcement.Address, MaxConnections: a.connections(announcement),
 			ConnectTimeout: backendConnectTimeout, MaxAnswerBytes: a.config.MaxAnswerBytes, MaxIdle: backendMaxIdle,
 		})
 	}
@@ -357,6 +357,16 @@
 	}
 }
 
+// connections is the lower of what the backend server announced and what its
+// class allows.
+func (a *Admission) connections(announcement Announcement) int {
+	limits, found := a.config.Configuration.View().Schedule.Limits(a.config.Clock.Wall(), announcement.Service)
+	if !found || limits.Connections == 0 {
+		return announcement.Connections
+	}
+	return min(announcement.Connections, int(limits.Connections))
+}
+
 // Load returns the load for probes; found is false without a backend server.
 func (a *Admission) Load() (load encoder.Load, found bool) {
 	a.mu.Lock()
--- a/pkg/parser/parser_test.go
+++ b/pkg/parser/parser_test.go
@@ -34,7 +34,7 @@
     "limits_by_time": [{"from": "2026-12-31T08:00:00Z", "to": "2026-12-31T09:00:00Z", "max_in_flight": 10}],
     "retry_budget_percent": 10, "hedge_percent": 5, "idempotent": [{"method": "GET", "path_prefix": "/"}],
     "key_required": [{"method": "POST", "path_prefix": "/materials/orders"}],
-    "deduplication_window_ms": 600000, "quarantine_ms": 300000, "unbounded": false
+    "deduplication_window_ms": 600000, "quarantine_ms": 300000
   }]
 }`
 
--- a/pkg/parser/service.go
+++ b/pkg/parser/service.go
@@ -50,8 +50,6 @@
 	DeduplicationWindow timer.Millis `json:"deduplication_window_ms"`
 	// Quarantine is how long a request that crashes backend servers is refused.
 	Quarantine timer.Millis `json:"quarantine_ms"`
-	// Unbounded is carried for the request path; no rule here depends on it.
-	Unbounded bool `json:"unbounded"`
 }
 
 // TimedLimit replaces max_in_flight within a window.
