Add checkpointer

A newcomer needs a checkpoint whose next offset the log still retains. Schedule finds one due after 1,000 records or a quarter of the retention and lets the log reader of the lowest rank write it; each further rank waits a grace longer.

--- /dev/null
+++ b/internal/coordination/checkpointer/checkpointer.go
@@ -0,0 +1,100 @@
+// Package checkpointer appends checkpoints to a stream of the log, so that a
+// newcomer never needs records that have expired.
+//
+// A checkpoint is due after 1,000 records or a quarter of the retention. The log
+// reader of the lowest rank writes it; the others write only when it is late.
+// Several checkpoints do no harm, since a checkpoint changes nothing for a
+// daemon that has folded as far. Schedule decides without I/O; Checkpointer does
+// the I/O.
+//
+// # Usage
+//
+//	c := checkpointer.New(checkpointer.Config{Stream: appender.Membership, ...})
+//	go c.Run(ctx)
+package checkpointer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// appendTime bounds one append of a checkpoint of about 1 MB.
+const appendTime = 10 * timer.Second
+
+// Config configures a Checkpointer. All fields but Logger are required.
+type Config struct {
+	Stream    appender.Stream
+	Log       appender.Log
+	Clock     timer.Clock
+	Rand      *rand.Rand
+	Retention timer.Millis
+	// Progress returns the position of this daemon in the stream.
+	Progress func() Progress
+	// Checkpoint encodes the folded state as a payload of the stream.
+	Checkpoint func() ([]byte, error)
+	Logger     *slog.Logger
+}
+
+// Checkpointer runs a Schedule. It is for one goroutine.
+type Checkpointer struct {
+	config   Config
+	schedule *Schedule
+}
+
+// New returns a checkpointer for a stream.
+func New(config Config) *Checkpointer {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Checkpointer{
+		config:   config,
+		schedule: NewSchedule(config.Clock.Now(), config.Retention, config.Rand),
+	}
+}
+
+// Run writes checkpoints until ctx ends.
+func (c *Checkpointer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		timeout := time.NewTimer(c.Turn(ctx).Duration())
+		select {
+		case <-ctx.Done():
+		case <-timeout.C:
+		}
+		timeout.Stop()
+	}
+}
+
+// Turn takes one step and returns the time to pause before the next one.
+func (c *Checkpointer) Turn(ctx context.Context) timer.Millis {
+	now := c.config.Clock.Now()
+	var pause timer.Millis
+	for _, action := range c.schedule.Step(now, Woke{Progress: c.config.Progress()}) {
+		switch a := action.(type) {
+		case Write:
+			err := c.write(ctx)
+			if err != nil {
+				c.config.Logger.Warn("checkpoint not written", "stream", c.config.Stream, "error", err)
+			}
+			c.schedule.Step(c.config.Clock.Now(), Written{Done: err == nil})
+		case Sleep:
+			pause = a.Until - now
+		}
+	}
+	return pause
+}
+
+func (c *Checkpointer) write(ctx context.Context) error {
+	payload, err := c.config.Checkpoint()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTime.Duration())
+	defer cancel()
+	_, err = c.config.Log.Append(ctx, c.config.Stream, payload)
+	return err
+}
