--- a/internal/coordination/claimer/stream.go
+++ b/internal/coordination/claimer/stream.go
@@ -81,6 +81,14 @@
 	return payload, Error.Wrap(err)
 }
 
+// LastCheckpoint returns the last offset that the newest checkpoint seen in the
+// stream covers.
+func (c *Claimer) LastCheckpoint() (identifier.Offset, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ownership.LastCheckpoint()
+}
+
 // folded handles a record that took effect. The caller holds the lock.
 func (c *Claimer) folded(record deduplicator.Record) {
 	now := c.config.Clock.Now()
--- a/internal/coordination/holder/configuration.go
+++ b/internal/coordination/holder/configuration.go
@@ -42,6 +42,9 @@
 	changed chan struct{}
 	// diverged counts checkpoints whose hash does not match the own state.
 	diverged int
+	// checkpoint is the offset that the newest checkpoint seen covers, if any.
+	checkpoint   identifier.Offset
+	checkpointed bool
 }
 
 // NewConfiguration returns a holder without configuration.
@@ -73,6 +76,7 @@
 	defer c.mu.Unlock()
 	restored, err := c.reducer.Restore(payload)
 	if restored {
+		c.noteCheckpoint(c.reducer.State().FoldedOffset)
 		c.publish()
 	}
 	return restored, err
@@ -93,6 +97,18 @@
 	return c.reducer.Checkpoint()
 }
 
+// LastCheckpoint returns the offset that the newest checkpoint seen in the
+// stream covers.
+func (c *Configuration) LastCheckpoint() (identifier.Offset, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.checkpoint, c.checkpointed
+}
+
+func (c *Configuration) noteCheckpoint(folded identifier.Offset) {
+	c.checkpoint, c.checkpointed = max(c.checkpoint, folded), true
+}
+
 // Audit returns the newest entries of the audit trail and the oldest offset
 // that the trail covers.
 func (c *Configuration) Audit(limit int) ([]reducer.AuditEntry, identifier.Offset) {
@@ -162,6 +178,7 @@
 	case reducer.Undecodable:
 		c.logger.Warn("configuration record skipped", "offset", offset, "detail", r.Detail)
 	case reducer.CheckpointSeen:
+		c.noteCheckpoint(r.FoldedOffset)
 		if r.Compared && !r.Matches {
 			c.diverged++
 			c.logger.Error("checkpoint contradicts the folded configuration", "folded_offset", r.FoldedOffset, "offset", offset)
--- a/internal/coordination/holder/membership.go
+++ b/internal/coordination/holder/membership.go
@@ -52,6 +52,15 @@
 	return m.tracker.Checkpoint()
 }
 
+// LastCheckpoint returns the offset that the newest checkpoint seen in the
+// stream covers.
+func (m *Membership) LastCheckpoint() (identifier.Offset, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	checkpoint := m.tracker.LastCheckpoint()
+	return checkpoint.Folded, checkpoint.Found
+}
+
 // Generation changes whenever the table may have changed.
 func (m *Membership) Generation() uint64 { return m.generation.Load() }
 
--- a/internal/runner/administration.go
+++ b/internal/runner/administration.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 
@@ -89,5 +88,3 @@
 	}
 	return s
 }
-
-func (d *daemon) checkpointLoops() []func(context.Context) { return nil }
--- a/internal/state/deduplicator/ownership.go
+++ b/internal/state/deduplicator/ownership.go
@@ -26,6 +26,9 @@
 type Ownership struct {
 	next   identifier.Offset
 	shards []shardState
+	// covered is the offset after the last one that the newest checkpoint seen
+	// covers; 0 means that none was seen.
+	covered identifier.Offset
 }
 
 // NewOwnership returns a fold without owners.
@@ -46,7 +49,8 @@
 	o.next++
 	records, err := DecodeRecords(payload)
 	if err != nil {
-		return nil, nil //nolint:nilerr // Skipped alike by every daemon.
+		o.noteCheckpoint(payload)
+		return nil, nil
 	}
 	var effective []Record
 	for _, record := range records {
@@ -57,6 +61,24 @@
 	return effective, nil
 }
 
+// noteCheckpoint remembers how far a checkpoint covers the stream. Anything else
+// that is no batch of records is skipped alike by every daemon.
+func (o *Ownership) noteCheckpoint(payload []byte) {
+	var snapshot ownershipSnapshot
+	if json.Unmarshal(payload, &snapshot) == nil {
+		o.covered = max(o.covered, snapshot.Next)
+	}
+}
+
+// LastCheckpoint returns the last offset that the newest checkpoint seen in the
+// stream covers.
+func (o *Ownership) LastCheckpoint() (identifier.Offset, bool) {
+	if o.covered == 0 {
+		return 0, false
+	}
+	return o.covered - 1, true
+}
+
 func (o *Ownership) applyOne(record Record) bool {
 	if int(record.Shard) >= len(o.shards) {
 		return false
@@ -131,5 +153,6 @@
 		return false, nil
 	}
 	o.next, o.shards = snapshot.Next, snapshot.Shards
+	o.covered = max(o.covered, snapshot.Next)
 	return true, nil
 }
