--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -34,7 +34,7 @@
 var Error = errs.Class("daemon")
 
 // incarnationBits is the number of random low bits of an incarnation.
-const incarnationBits = 16
+const incarnationBits = 22
 
 // daemon is one running daemon.
 type daemon struct {
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
@@ -114,7 +113,7 @@
 // administration serves metrics, health and the administration API.
 func (d *daemon) administration() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", d.serveMetrics())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if d.draining() || d.configuration.View().Version == 0 {
