--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -27,15 +27,28 @@
 	cmd.Flags().DurationVar(&c.timeout, "timeout", 15*time.Second, "longest time to wait")
 }
 
-func (c *connection) open(cmd *cobra.Command) (administratorconnect.AdministratorClient, context.Context, context.CancelFunc, error) {
+// call runs a function with a client that carries the operator's token.
+func (c *connection) call(cmd *cobra.Command, call func(context.Context, administratorconnect.AdministratorClient) error) error {
 	token := os.Getenv(tokenVariable)
 	if token == "" {
-		return nil, nil, nil, &exitError{exitFindings, Error.New("the environment variable %s holds no token", tokenVariable)}
+		return &exitError{exitFindings, Error.New("the environment variable %s holds no token", tokenVariable)}
 	}
 	client := administratorconnect.NewAdministratorClient(http.DefaultClient, "http://"+c.address,
 		connect.WithInterceptors(bearer(token)))
 	ctx, cancel := context.WithTimeout(cmd.Context(), c.timeout)
-	return client, ctx, cancel, nil
+	defer cancel()
+	return call(ctx, client)
+}
+
+// callWithSheet reads a sheet and runs a function with it and a client.
+func (c *connection) callWithSheet(cmd *cobra.Command, path string, call func(context.Context, administratorconnect.AdministratorClient, []byte) error) error {
+	sheet, err := os.ReadFile(path)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return c.call(cmd, func(ctx context.Context, client administratorconnect.AdministratorClient) error {
+		return call(ctx, client, sheet)
+	})
 }
 
 // bearer adds the operator's token to each call.
--- a/internal/commander/sheet.go
+++ b/internal/commander/sheet.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -8,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliaknot/magnoliaknot/pkg/administrator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/administrator/administratorconnect"
 	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
 )
 
@@ -48,23 +50,16 @@
 		Short: "List the edits from the sheet in force to the given one",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, arguments []string) error {
-			data, err := os.ReadFile(arguments[0])
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			client, ctx, cancel, err := c.open(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			answer, err := client.DiffSheet(ctx, &administrator.DiffSheetRequest{Sheet: data})
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			if err := findingsError(answer.Findings); err != nil {
-				return err
-			}
-			return printDiff(cmd.OutOrStdout(), answer)
+			return c.callWithSheet(cmd, arguments[0], func(ctx context.Context, client administratorconnect.AdministratorClient, sheet []byte) error {
+				answer, err := client.DiffSheet(ctx, &administrator.DiffSheetRequest{Sheet: sheet})
+				if err != nil {
+					return Error.Wrap(err)
+				}
+				if err := findingsError(answer.Findings); err != nil {
+					return err
+				}
+				return printDiff(cmd.OutOrStdout(), answer)
+			})
 		},
 	}
 	c.addFlags(cmd)
@@ -96,22 +91,15 @@
 once.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, arguments []string) error {
-			data, err := os.ReadFile(arguments[0])
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			client, ctx, cancel, err := c.open(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			answer, err := client.PublishChange(ctx, &administrator.PublishChangeRequest{
-				Sheet: data, BaseVersion: base, ChangeId: id, Comment: comment,
+			return c.callWithSheet(cmd, arguments[0], func(ctx context.Context, client administratorconnect.AdministratorClient, sheet []byte) error {
+				answer, err := client.PublishChange(ctx, &administrator.PublishChangeRequest{
+					Sheet: sheet, BaseVersion: base, ChangeId: id, Comment: comment,
+				})
+				if err != nil {
+					return Error.Wrap(err)
+				}
+				return reportPublish(cmd.OutOrStdout(), answer)
 			})
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			return reportPublish(cmd.OutOrStdout(), answer)
 		},
 	}
 	c.addFlags(cmd)
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliaknot/magnoliaknot/pkg/administrator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/administrator/administratorconnect"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 )
 
@@ -28,16 +30,13 @@
 		Short: "Show a daemon's configuration, failure domains and instances",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, ctx, cancel, err := c.open(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			answer, err := client.GetStatus(ctx, &administrator.GetStatusRequest{})
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			return printStatus(cmd.OutOrStdout(), answer)
+			return c.call(cmd, func(ctx context.Context, client administratorconnect.AdministratorClient) error {
+				answer, err := client.GetStatus(ctx, &administrator.GetStatusRequest{})
+				if err != nil {
+					return Error.Wrap(err)
+				}
+				return printStatus(cmd.OutOrStdout(), answer)
+			})
 		},
 	}
 	c.addFlags(cmd)
@@ -71,16 +70,13 @@
 		Short: "List who changed what, from which version, with what result",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, ctx, cancel, err := c.open(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			answer, err := client.ListAudit(ctx, &administrator.ListAuditRequest{Limit: limit})
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			return printAudit(cmd.OutOrStdout(), answer)
+			return c.call(cmd, func(ctx context.Context, client administratorconnect.AdministratorClient) error {
+				answer, err := client.ListAudit(ctx, &administrator.ListAuditRequest{Limit: limit})
+				if err != nil {
+					return Error.Wrap(err)
+				}
+				return printAudit(cmd.OutOrStdout(), answer)
+			})
 		},
 	}
 	c.addFlags(cmd)
