Replace a silent successor before its promise lapses

Cause: an owner of a key shard needs the promises of both successors, and it waited 6 s before it named another. So the loss of one daemon stopped the claims of every shard that it followed, not only of those it owned: in the experiment kill_daemon 350 keyed requests were refused key_owner_unavailable. Ruled out: the takeover of the shards that the lost daemon owned, which took 3.5 s as designed.

A successor that leaves renewals unanswered for 1.2 s is now replaced while its last promise still holds. The ownership property grants 6406 claims instead of 4475 in its 300 checks.

--- a/internal/state/deduplicator/lease.go
+++ b/internal/state/deduplicator/lease.go
@@ -15,9 +15,13 @@
 	rankDelay = timer.Second
 	// maxUnownedRank bounds the daemons that claim a shard without owner.
 	maxUnownedRank = 3
-	// successorTimeout is how long a promise may be missing before the owner
-	// names another successor.
-	successorTimeout = 2 * PromiseSpan
+	// successorTimeout is how long a successor may leave renewals unanswered
+	// before the owner names another. It is shorter than a promise holds, so
+	// that the loss of a successor does not interrupt the owner.
+	successorTimeout = 1200 * timer.Millis(1)
+	// joinDelay is how long an owner with too few successors waits before it
+	// names more.
+	joinDelay = 2 * PromiseSpan
 	// logFresh is how recently the log must have been read to its end before a
 	// takeover is tried. A successor that appended can give no promise until
 	// the log has decided, so it does not try while the log is down.
@@ -266,7 +270,8 @@
 	state := &l.shards[shard]
 	var silent []Claimant
 	for i, successor := range current.Successors {
-		if now-max(state.promises[i], state.epochSince) >= successorTimeout {
+		answered := state.promises[i] - PromiseSpan + PromiseMargin
+		if now-max(answered, state.epochSince) >= successorTimeout {
 			silent = append(silent, successor)
 		}
 	}
@@ -284,7 +289,7 @@
 		return true
 	}
 	if len(current.Successors) < maxSuccessors && len(l.members) > len(current.Successors)+1 {
-		return now-state.epochSince >= successorTimeout
+		return now-state.epochSince >= joinDelay
 	}
 	return len(l.silentSuccessors(now, shard, current)) > 0
 }
