Add admission of attempts at a backend server

Cause: only the daemon beside a backend server knows, without stale data, whether an attempt may start there. It must hold the cold limit, drain, an out-of-service failure domain, isolation and deadlines, also after a pause.

Result: admitter is a state machine that starts or refuses each attempt once. The limit is the lowest of sheet, slots, cold limit and domain share. After a pause nothing starts until the owner has passed the domain state again. A Step that reports a crash starts nothing, so that quarantine verdicts reach queued attempts first.

--- /dev/null
+++ b/internal/state/admitter/action.go
@@ -0,0 +1,83 @@
+package admitter
+
+import (
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Action is an output of Step.
+type Action interface{ action() }
+
+// Start forwards an attempt to the backend server. Remaining is the caller's
+// time left in ms and more than zero. Solo means that it runs alone.
+type Start struct {
+	Attempt   identifier.AttemptID
+	Remaining timer.Millis
+	Solo      bool
+}
+
+// Refuse answers an attempt that has not started. RetryAfter is an estimate in
+// ms of when another attempt here may be admitted.
+type Refuse struct {
+	Attempt    identifier.AttemptID
+	Reason     Reason
+	RetryAfter timer.Millis
+}
+
+// Drained says that nothing runs any more after a drain began.
+type Drained struct{}
+
+// Lost says that the backend server died, and lists the requests that ran. A
+// Step that returns it starts nothing, so that the quarantine verdicts can be
+// passed as Restrict first.
+type Lost struct {
+	Running []Running
+	// Uncertain means that something else may have caused the crash: requests
+	// of a predecessor, or an earlier crash that the server has not announced
+	// itself after.
+	Uncertain bool
+}
+
+// Recheck says that the process was paused. Nothing starts until the owner has
+// passed the current DomainState, and before it current Limits.
+type Recheck struct{}
+
+func (Start) action()   {}
+func (Refuse) action()  {}
+func (Drained) action() {}
+func (Lost) action()    {}
+func (Recheck) action() {}
+
+// Running is a started attempt that has not ended.
+type Running struct {
+	Attempt        identifier.AttemptID
+	Fingerprint    identifier.Fingerprint
+	HasFingerprint bool
+	Solo           bool
+}
+
+// Reason says why an attempt was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// ReasonDraining means that the daemon or its backend server stops.
+	ReasonDraining Reason = "draining"
+	// ReasonDomainOut means that the failure domain is out of service.
+	ReasonDomainOut Reason = "domain_out"
+	// ReasonOverloaded means that the queue is full or the wait too long.
+	ReasonOverloaded Reason = "overloaded"
+	// ReasonDeadline means that the caller's time ended or nobody waits.
+	ReasonDeadline Reason = "deadline"
+	// ReasonIsolated means that neither the log nor a peer has been heard of.
+	ReasonIsolated Reason = "isolated"
+	// ReasonQuarantined means that the request crashes backend servers.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonConfigBehind means that the sender has a newer configuration.
+	ReasonConfigBehind Reason = "config_behind"
+	// ReasonCold is ReasonOverloaded while the cold limit is the lowest, or
+	// means that the backend server is starting.
+	ReasonCold Reason = "cold"
+	// ReasonUnavailable means that no backend server has announced itself.
+	ReasonUnavailable Reason = "unavailable"
+)
--- /dev/null
+++ b/internal/state/admitter/load.go
@@ -0,0 +1,60 @@
+package admitter
+
+import (
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Load is what load reports carry.
+type Load struct {
+	// InFlight counts running attempts and those of a predecessor.
+	InFlight int
+	Queued   int
+	Limit    int
+	Cold     bool
+	// MeanLatency is the moving mean of good answers in ms.
+	MeanLatency timer.Millis
+}
+
+// Load returns the load after the last event.
+func (a *Admitter) Load() Load {
+	return Load{
+		InFlight:    len(a.running) + a.foreign(),
+		Queued:      a.queue.len(),
+		Limit:       a.limit(),
+		Cold:        a.ramp.cold,
+		MeanLatency: timer.Millis(a.ramp.mean + 0.5),
+	}
+}
+
+// Status is the state for operators.
+type Status struct {
+	Load        Load
+	Backend     BackendState
+	Incarnation identifier.Incarnation
+	Slots       int
+	Version     identifier.Version
+	// Closed is why new attempts are refused, empty if they are not.
+	Closed Reason
+	// Paused means that current DomainState is awaited after a pause.
+	Paused bool
+	// Predecessor counts requests that a previous daemon may have running.
+	Predecessor int
+	// SoloQueued counts queued attempts that must run alone.
+	SoloQueued int
+}
+
+// Status returns the state after the last event.
+func (a *Admitter) Status() Status {
+	return Status{
+		Load:        a.Load(),
+		Backend:     a.backend.state,
+		Incarnation: a.backend.incarnation,
+		Slots:       a.backend.slots,
+		Version:     a.limits.Version,
+		Closed:      a.closed(),
+		Paused:      a.paused,
+		Predecessor: a.foreign(),
+		SoloQueued:  a.queue.solos,
+	}
+}
