--- a/internal/state/admitter/ramp.go
+++ b/internal/state/admitter/ramp.go
@@ -59,7 +59,11 @@
 	case OK:
 		r.failures = 0
 		return r.jumped(max(0, latency))
-	case Failed, TimedOut:
+	case TimedOut:
+		// Callers choose short time-outs, so only one as long as a jump says
+		// something of the backend server.
+		return r.slower(latency) && r.jumped(latency)
+	case Failed:
 		r.failures++
 		return r.failures >= failureRun
 	case ConnectionRefused, Crashed:
@@ -69,10 +73,15 @@
 	}
 }
 
+// slower reports whether a latency is far above a mean that is known well enough.
+func (r *ramp) slower(latency timer.Millis) bool {
+	return r.answers >= baseline && latency >= jumpLatency && float64(latency) >= jumpFactor*r.mean
+}
+
 // jumped updates the mean. Slow answers are kept out of it until they are
 // known not to be a jump.
 func (r *ramp) jumped(latency timer.Millis) bool {
-	if r.answers >= baseline && latency >= jumpLatency && float64(latency) >= jumpFactor*r.mean {
+	if r.slower(latency) {
 		r.slow++
 		r.slowSum += latency
 		if r.slow < jumpRun {
