Believe a fence answer only from the process that got the attempt

Cause: the attempt table of a replaced daemon is empty, so it says not run of an attempt that its predecessor ran, and ingress would run the request again. The answer now counts only if it names the incarnation that the attempt was sent to. Shown by a spec that answers not_run without the check and unknown with it.

The attempt table keeps 65,536 senders instead of 16,384, since 34,000 daemons may call one service.

--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -53,7 +53,7 @@
 const (
 	defaultPerSender = 1 << 16
 	defaultTotal     = 1 << 18
-	defaultSenders   = 1 << 14
+	defaultSenders   = 1 << 16
 	defaultRetention = 15 * timer.Minute
 )
 
--- a/internal/transport/receiver/exchange.go
+++ b/internal/transport/receiver/exchange.go
@@ -233,7 +233,7 @@
 }
 
 func (x *exchange) query(number retrier.Attempt, s sent) {
-	state := x.ingress.config.Peers.Fence(s.member.Peer, s.id)
+	state := x.ingress.config.Peers.Fence(s.member, s.id)
 	select {
 	case x.events <- ended{event: retrier.FenceResult{Attempt: number, State: state}}:
 	default:
--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/responder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -95,6 +96,7 @@
 type link struct {
 	address string
 	mu      sync.Mutex
+	target  string
 	silent  []*atomic.Bool
 }
 
@@ -102,20 +104,23 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
-	l := &link{address: listener.Addr().String()}
+	l := &link{address: listener.Addr().String(), target: target}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			l.relay(conn, target)
+			l.relay(conn)
 		}
 	}()
 	return l
 }
 
-func (l *link) relay(conn net.Conn, target string) {
+func (l *link) relay(conn net.Conn) {
+	l.mu.Lock()
+	target := l.target
+	l.mu.Unlock()
 	other, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = conn.Close()
@@ -145,6 +150,20 @@
 	}
 }
 
+// replace makes new connections go to another target; the open ones stay.
+func (l *link) replace(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
+// startEmptyDaemon starts the peer address of a daemon that has seen no attempt.
+func startEmptyDaemon(incarnation identifier.Incarnation) string {
+	admission := receiver.NewAdmission(receiver.AdmissionConfig{Clock: timer.NewSystem()})
+	answers := responder.New(responder.Config{Incarnation: incarnation, Admission: admission, Keys: noKeys{}})
+	return serve(GinkgoTB(), answers.Handler(admission.Serve))
+}
+
 // goSilent drops what comes over the connections that are open now.
 func (l *link) goSilent() {
 	l.mu.Lock()
@@ -212,6 +231,17 @@
 		}
 	})
 
+	It("guards against a replaced daemon that says not run of what its predecessor ran", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		l := startLink(string(w.instances[0].member.Peer))
+		w.replacePeer(0, identifier.Address(l.address))
+		Expect(w.send(GinkgoTB(), "POST", "/first", timer.Second).outcome).To(Equal(encoder.Complete))
+		l.replace(startEmptyDaemon(2))
+		Expect(w.send(GinkgoTB(), "POST", "/slow", 390).outcome).To(Equal(encoder.Unknown))
+		Expect(runs("/slow", only)).To(Equal(1))
+	})
+
 	It("guards against an answer that comes late being given to the next request", func() {
 		only := startBackend()
 		w := newWorld(GinkgoTB(), only.address)
--- a/internal/transport/receiver/harness_test.go
+++ b/internal/transport/receiver/harness_test.go
@@ -150,7 +150,7 @@
 		},
 		Announced: func(receiver.Announcement) {}, Logger: slog.New(slog.DiscardHandler),
 	})
-	answers := responder.New(responder.Config{Admission: admission, Keys: noKeys{}, Announcer: new(announcer.Announcer)})
+	answers := responder.New(responder.Config{Incarnation: 1, Admission: admission, Keys: noKeys{}, Announcer: new(announcer.Announcer)})
 	i := &instance{admission: admission, member: tracker.Member{
 		Instance: identifier.InstanceID(fmt.Sprint("materials-", n)), Incarnation: 1, Service: "materials",
 		FailureDomain: "aarhus", Region: "jutland", Class: "standard", Slots: 20, State: tracker.Ready,
--- a/internal/transport/receiver/peers.go
+++ b/internal/transport/receiver/peers.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1/peerv1connect"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -78,14 +79,15 @@
 }
 
 // Fence asks a daemon on a new connection whether an attempt has started; if
-// not, it never will.
-func (p *Peers) Fence(address identifier.Address, attempt identifier.AttemptID) retrier.FenceState {
+// not, it never will. Only the process that the attempt was sent to can tell: the
+// table of a daemon that replaced it is empty.
+func (p *Peers) Fence(m tracker.Member, attempt identifier.AttemptID) retrier.FenceState {
 	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout.Duration())
 	defer cancel()
-	answer, err := p.client(p.fresh, address).Fence(ctx, &peerv1.FenceRequest{
+	answer, err := p.client(p.fresh, m.Peer).Fence(ctx, &peerv1.FenceRequest{
 		Origin: uint64(attempt.Origin), Sequence: attempt.Sequence,
 	})
-	if err != nil {
+	if err != nil || identifier.Incarnation(answer.Incarnation) != m.Incarnation {
 		return retrier.FenceUnknown
 	}
 	switch answer.State {
