Watch members of other failure domains of the region

Cause: watchers were neighbours in the same failure domain only. When a whole failure domain was lost nobody was left to suspect its members, and with fewer than three daemons two watchers could not agree; dead members stayed for the retention. Each daemon now also checks two members of other failure domains of its region, and suspicions go to log readers inside and outside the suspect's failure domain. Regions do not watch each other: a region that is cut off would be removed as a whole and would have to join again as a whole.

--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -185,7 +185,7 @@
 
 func (d *daemon) sendSuspicion(suspect tracker.Suspect) {
 	var readers []tracker.Member
-	d.membership.Read(func(t *tracker.Tracker) { readers = t.Readers(d.settings.FailureDomain) })
+	d.membership.Read(func(t *tracker.Tracker) { readers = t.SuspicionReaders(suspect.Instance) })
 	client := announcer.PeerClients{Client: d.peers.Client}
 	for _, m := range readers {
 		if m.Instance == d.settings.Node {
--- a/internal/state/tracker/event.go
+++ b/internal/state/tracker/event.go
@@ -32,8 +32,8 @@
 // Action is something that the daemon should do.
 type Action interface{ action() }
 
-// SendSuspicion asks to hand a suspicion to every log reader of the failure
-// domain, this daemon included if it is one.
+// SendSuspicion asks to hand a suspicion to every log reader that
+// SuspicionReaders returns, this daemon included if it is one.
 type SendSuspicion struct{ Suspect Suspect }
 
 // AppendLeave asks to append a leave.
--- a/internal/state/tracker/liveness.go
+++ b/internal/state/tracker/liveness.go
@@ -118,14 +118,14 @@
 	t.health[instance] = h
 }
 
-// suspect turns the suspicions of two members of the suspect's failure domain
-// into a leave. One watcher alone may be cut off itself.
+// suspect turns the suspicions of two members of the suspect's region into a
+// leave. One watcher alone may be cut off itself.
 func (t *Tracker) suspect(now timer.Millis, s Suspect) []Action {
 	target, watcher := t.table.find(s.Instance), t.table.find(s.Watcher)
 	if target == nil || target.left || target.incarnation != s.Incarnation {
 		return nil
 	}
-	if watcher == nil || watcher.left || watcher == target || watcher.domain != target.domain {
+	if watcher == nil || watcher.left || watcher == target || watcher.region != target.region {
 		return nil
 	}
 	first, ok := t.suspicions[s.Instance]
--- a/internal/state/tracker/ring.go
+++ b/internal/state/tracker/ring.go
@@ -12,6 +12,11 @@
 	readersPerDomain = 3
 	// watchersPerMember ring neighbours check each daemon.
 	watchersPerMember = 3
+	// remoteWatched daemons of other failure domains of the region are checked
+	// as well, since nobody is left in a failure domain that is lost as a whole.
+	remoteWatched = 2
+	// suspicionReaders log readers of the region take each suspicion.
+	suspicionReaders = 3
 
 	// Distinct keys make the orders below independent of each other.
 	readerKey = 0x72656164
@@ -85,10 +90,72 @@
 	return relays
 }
 
-// Watched returns the ring neighbours in a member's failure domain that its
-// daemon checks. The ring is ordered by hash, so that neighbours by name, which
-// often share a rack, are not neighbours on the ring.
+// Watched returns the members that a member's daemon checks: ring neighbours in
+// its failure domain and in others of its region.
 func (t *Tracker) Watched(self identifier.InstanceID) []Member {
+	return append(t.neighbours(self), t.remoteNeighbours(self)...)
+}
+
+// remoteNeighbours returns the members of other failure domains of the region
+// that follow a member by hash. Other regions are left out, since a region that
+// is cut off would be removed as a whole and join again as a whole.
+func (t *Tracker) remoteNeighbours(self identifier.InstanceID) []Member {
+	i, ok := t.table.index[self]
+	if !ok || t.table.rows[i].left {
+		return nil
+	}
+	if t.remoteOf == self && t.remoteVersion == t.table.version {
+		return t.remote
+	}
+	own := &t.table.rows[i]
+	var nearest []uint32
+	distance := func(i uint32) uint64 { return t.table.rows[i].hash - own.hash }
+	for n := range t.table.rows {
+		r := &t.table.rows[n]
+		if r.instance == "" || r.left || r.region != own.region || r.domain == own.domain {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(nearest, uint32(n), func(a, b uint32) int { return cmp.Compare(distance(a), distance(b)) })
+		nearest = slices.Insert(nearest, at, uint32(n))
+		nearest = nearest[:min(len(nearest), remoteWatched)]
+	}
+	t.remote = make([]Member, 0, len(nearest))
+	for _, n := range nearest {
+		t.remote = append(t.remote, t.table.member(&t.table.rows[n]))
+	}
+	t.remoteOf, t.remoteVersion = self, t.table.version
+	return t.remote
+}
+
+// SuspicionReaders returns the log readers that decide about a suspicion: those
+// of the suspect's failure domain, and the first of other failure domains of its
+// region in case all of them are lost.
+func (t *Tracker) SuspicionReaders(suspect identifier.InstanceID) []Member {
+	r := t.table.find(suspect)
+	if r == nil || r.left {
+		return nil
+	}
+	var remote []Member
+	for i := range t.table.domains {
+		if uint32(i) == r.domain {
+			continue
+		}
+		for _, m := range t.table.readers(&t.table.domains[i]) {
+			if t.table.find(m.Instance).region == r.region {
+				remote = append(remote, m)
+			}
+		}
+	}
+	slices.SortFunc(remote, func(a, b Member) int {
+		return cmp.Compare(mix(hashInstance(a.Instance), rankKey), mix(hashInstance(b.Instance), rankKey))
+	})
+	return append(slices.Clone(t.table.readers(&t.table.domains[r.domain])), remote[:min(len(remote), suspicionReaders)]...)
+}
+
+// neighbours returns the ring neighbours in a member's failure domain. The ring
+// is ordered by hash, so that neighbours by name, which often share a rack, are
+// not neighbours on the ring.
+func (t *Tracker) neighbours(self identifier.InstanceID) []Member {
 	i, ok := t.table.index[self]
 	if !ok || t.table.rows[i].left {
 		return nil
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -66,13 +66,17 @@
 	checkpoint Checkpoint
 	malformed  uint64
 
-	observed    timer.Millis
-	lastTick    timer.Millis
-	lastScan    timer.Millis
-	health      map[identifier.InstanceID]health
-	suspicions  map[identifier.InstanceID]suspicion
-	ranks       []identifier.InstanceID
-	rankVersion uint64
+	observed   timer.Millis
+	lastTick   timer.Millis
+	lastScan   timer.Millis
+	health     map[identifier.InstanceID]health
+	suspicions map[identifier.InstanceID]suspicion
+	// remote caches the members of other failure domains that remoteOf checks.
+	remote        []Member
+	remoteOf      identifier.InstanceID
+	remoteVersion uint64
+	ranks         []identifier.InstanceID
+	rankVersion   uint64
 }
 
 // New returns an empty tracker.
