--- a/internal/protocol/encoder/refusal.go
+++ b/internal/protocol/encoder/refusal.go
@@ -9,6 +9,9 @@
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
+// defaultRetryAfter is the hint of a refusal that has no better one.
+const defaultRetryAfter = 200 * timer.Millis(1)
+
 // Refusal is an answer that does not come from a backend server.
 type Refusal struct {
 	Outcome      Outcome      `json:"outcome"`
@@ -23,6 +26,9 @@
 	header := &ctx.Response.Header
 	header.Set(HeaderOutcome, string(r.Outcome))
 	header.Set(HeaderReason, string(r.Reason))
+	if r.RetryAfterMs == 0 && r.temporary() {
+		r.RetryAfterMs = defaultRetryAfter
+	}
 	if r.Outcome == NotRun && r.RetryAfterMs > 0 {
 		header.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(r.RetryAfterMs), 10))
 		header.Set(HeaderRetryAfter, strconv.FormatInt(int64((r.RetryAfterMs+timer.Second-1)/timer.Second), 10))
@@ -48,6 +54,12 @@
 	return true
 }
 
+// temporary tells whether the same request may be accepted a moment later.
+func (r Refusal) temporary() bool {
+	status := r.status()
+	return r.Outcome == NotRun && (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests)
+}
+
 func (r Refusal) status() int {
 	switch r.Reason {
 	case ReasonBadRequest, ReasonKeyRequired:
