--- a/internal/transport/appender/log.go
+++ b/internal/transport/appender/log.go
@@ -37,7 +37,6 @@
 	Configuration Stream = "configuration"
 	Membership    Stream = "membership"
 	Ownership     Stream = "ownership"
-	Quarantine    Stream = "quarantine"
 )
 
 // Record is one record of a stream.
