--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -101,6 +101,15 @@
 // Len returns the number of members.
 func (t *Tracker) Len() int { return t.table.live }
 
+// Members returns the number of members of a failure domain.
+func (t *Tracker) Members(domain identifier.FailureDomain) int {
+	id, ok := t.table.domainNames.ids[domain]
+	if !ok || int(id) >= len(t.table.domains) {
+		return 0
+	}
+	return len(t.table.domains[id].ring)
+}
+
 // Instances returns the members of a service, ordered by instance.
 func (t *Tracker) Instances(service identifier.ServiceName) []Member {
 	return t.table.instances(service)
--- a/internal/transport/appender/client_test.go
+++ b/internal/transport/appender/client_test.go
@@ -1,12 +1,12 @@
 package appender_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -24,44 +24,19 @@
 // serve answers each request on a loopback socket with reply, or closes the
 // connection after reading the request if reply is nil. It counts requests.
 func serve(reply func(*http.Request) (int, string)) (string, *atomic.Int64) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
 	var requests atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answer(conn, &requests, reply)
-		}
-	}()
-	return "http://" + listener.Addr().String(), &requests
-}
-
-func answer(conn net.Conn, requests *atomic.Int64, reply func(*http.Request) (int, string)) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body := make([]byte, max(req.ContentLength, 0))
-		for n := 0; n < len(body); {
-			m, err := req.Body.Read(body[n:])
-			if n += m; err != nil {
-				break
-			}
-		}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
 		requests.Add(1)
 		if reply == nil {
-			return
+			panic(http.ErrAbortHandler)
 		}
-		status, text := reply(req)
-		fmt.Fprintf(conn, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
-	}
+		status, text := reply(r)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, text)
+	}))
+	DeferCleanup(server.Close)
+	return server.URL, &requests
 }
 
 func client(url string) *appender.Client {
@@ -152,8 +127,8 @@
 	It("guards against a caller that waits for a silent log after it was cancelled", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		release := make(chan struct{})
-		DeferCleanup(func() { close(release) })
 		url, _ := serve(func(*http.Request) (int, string) { cancel(); <-release; return 200, `{"offset":0}` })
+		DeferCleanup(func() { close(release) })
 		_, err := client(url).Append(ctx, appender.Membership, []byte("a"))
 		Expect(appender.Error.Has(err)).To(BeTrue())
 		Expect(appender.Refused.Has(err)).To(BeFalse())
