Keep one locked membership table

The runner and the announcer each had one with the same methods. The holder's stays and gives followers and announcer what they need; its test over real connections moved with it. Profiles can be served on the administration address.

--- a/internal/coordination/holder/membership.go
+++ b/internal/coordination/holder/membership.go
@@ -2,8 +2,9 @@
 
 import (
 	"sync"
-	"sync/atomic"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -11,22 +12,24 @@
 
 // Membership holds the membership table. It is safe for concurrent use.
 type Membership struct {
-	generation atomic.Uint64
+	self   identifier.InstanceID
+	domain identifier.FailureDomain
 
 	mu      sync.Mutex
 	tracker *tracker.Tracker
 }
 
+var _ follower.State = (*Membership)(nil)
+
 // NewMembership returns a holder of an empty table.
 func NewMembership(config tracker.Config) *Membership {
-	return &Membership{tracker: tracker.New(config)}
+	return &Membership{self: config.Self, domain: config.FailureDomain, tracker: tracker.New(config)}
 }
 
 // Apply folds one record of the membership stream.
 func (m *Membership) Apply(offset identifier.Offset, payload []byte) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.generation.Add(1)
 	return m.tracker.Apply(offset, payload)
 }
 
@@ -34,7 +37,6 @@
 func (m *Membership) Restore(payload []byte) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.generation.Add(1)
 	return m.tracker.Restore(payload)
 }
 
@@ -61,9 +63,6 @@
 	return checkpoint.Folded, checkpoint.Found
 }
 
-// Generation changes whenever the table may have changed.
-func (m *Membership) Generation() uint64 { return m.generation.Load() }
-
 // Step handles an event of local liveness.
 func (m *Membership) Step(now timer.Millis, event tracker.Event) []tracker.Action {
 	m.mu.Lock()
@@ -99,3 +98,44 @@
 	defer m.mu.Unlock()
 	return m.tracker.Len()
 }
+
+// Assignment tells the followers of this daemon which sources to use.
+func (m *Membership) Assignment() follower.Assignment {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, reader := m.tracker.ReaderRank(m.self)
+	return follower.Assignment{Reader: reader, Relays: m.relays()}
+}
+
+// Standing tells the announcer what the table says of this daemon.
+func (m *Membership) Standing(incarnation identifier.Incarnation) announcer.Standing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := announcer.Standing{Readers: m.relays(), Members: m.tracker.DomainLen(m.domain)}
+	_, s.Reader = m.tracker.ReaderRank(m.self)
+	s.Present = m.tracker.Present(m.self, incarnation)
+	s.Above, s.Removed = m.tracker.Removed(m.self, incarnation)
+	if entry, ok := m.tracker.Lookup(m.self); ok {
+		s.Revision, s.RenewedOffset = entry.Revision, entry.RenewedOffset
+	}
+	return s
+}
+
+// ReaderRank returns the rank of this daemon among all log readers, or false if
+// it is none.
+func (m *Membership) ReaderRank() (int, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.ReaderRank(m.self)
+}
+
+// relays returns the addresses of the other log readers. The caller holds the
+// lock.
+func (m *Membership) relays() []identifier.Address {
+	relays := m.tracker.Relays(m.domain, m.self)
+	addresses := make([]identifier.Address, 0, len(relays))
+	for _, r := range relays {
+		addresses = append(addresses, r.Peer)
+	}
+	return addresses
+}
--- a/internal/coordination/announcer/membership_test.go
+++ b/internal/coordination/holder/membership_test.go
@@ -1,12 +1,15 @@
-package announcer_test
+package holder_test
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,14 +18,25 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/checkpointer"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/follower"
+	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1/peerv1connect"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
+const (
+	domain    = identifier.FailureDomain("aarhus")
+	retention = timer.Hour
+)
+
+var errLost = errors.New("the log is down")
+
+func TestHolder(t *testing.T) { tester.RunSpecs(t, "holder") }
+
 // memoryLog is a log that can be down.
 type memoryLog struct {
 	mu      sync.Mutex
@@ -56,7 +70,7 @@
 // process is the coordination of one daemon behind a loopback socket.
 type process struct {
 	peerv1connect.UnimplementedPeerHandler
-	*announcer.Membership
+	*holder.Membership
 	follower  *follower.Follower
 	announcer *announcer.Announcer
 	address   identifier.Address
@@ -80,10 +94,25 @@
 	return peerv1connect.NewPeerClient(http.DefaultClient, "http://"+string(address))
 }
 
+func (p *process) progress() checkpointer.Progress {
+	progress := checkpointer.Progress{Confirmed: p.follower.ConfirmedAge() < 10*timer.Second}
+	progress.Folded, progress.Any = p.Folded()
+	progress.Checkpoint, progress.Found = p.LastCheckpoint()
+	progress.Rank, progress.Reader = p.ReaderRank()
+	return progress
+}
+
+func member(n int) tracker.Member {
+	return tracker.Member{
+		Instance: identifier.InstanceID(fmt.Sprint("i-", n)), Incarnation: 1, Service: "materials", FailureDomain: domain,
+		Region: "jutland", Class: "standard", Slots: 20, State: tracker.Ready,
+	}
+}
+
 // run starts a daemon that lives until the spec ends.
 func run(n int, log appender.Log, clock timer.Clock, seeds []identifier.Address) *process {
 	m := member(n)
-	p := &process{Membership: announcer.NewMembership(tracker.Config{Self: m.Instance, FailureDomain: domain, Retention: retention})}
+	p := &process{Membership: holder.NewMembership(tracker.Config{Self: m.Instance, FailureDomain: domain, Retention: retention})}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(uint64(n), 9)) }
 	p.follower = follower.New(follower.Config{
 		Stream: appender.Membership, Log: log, Relay: follower.PeerRelay{Client: client}, Clock: clock, Rand: random(),
@@ -100,7 +129,7 @@
 	})
 	checkpoints := checkpointer.New(checkpointer.Config{
 		Stream: appender.Membership, Log: log, Clock: clock, Rand: random(), Retention: retention, Checkpoint: p.Checkpoint,
-		Progress: func() checkpointer.Progress { return p.Progress(p.follower.ConfirmedAge() < 10*timer.Second) },
+		Progress: p.progress,
 	})
 	path, handler := peerv1connect.NewPeerHandler(p)
 	mux := http.NewServeMux()
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -31,6 +31,9 @@
 	// KeyShards is the number of shards of idempotency keys. It must be the
 	// same on every daemon and never change while keys are remembered.
 	KeyShards int64 `json:"key_shards"`
+	// Profiling serves Go profiles at /debug/pprof/ on the administration
+	// address, without a token.
+	Profiling bool `json:"profiling"`
 	// ShutdownTimeout bounds a graceful stop.
 	ShutdownTimeout timer.Millis `json:"shutdown_timeout_ms"`
 }
--- a/internal/runner/checkpoints.go
+++ b/internal/runner/checkpoints.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/checkpointer"
-	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 )
@@ -44,6 +43,6 @@
 	p.Folded, p.Any = state.Folded()
 	p.Checkpoint, p.Found = state.LastCheckpoint()
 	p.Confirmed = d.followers[stream].ConfirmedAge() < confirmedRecently
-	d.membership.Read(func(t *tracker.Tracker) { p.Rank, p.Reader = t.ReaderRank(d.settings.Node) })
+	p.Rank, p.Reader = d.membership.ReaderRank()
 	return p
 }
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -57,17 +57,10 @@
 }
 
 // assignment tells whether this daemon reads the log and which relays it
-// follows. Before it knows the membership it reads the log.
+// follows. Without a relay it reads the log.
 func (d *daemon) assignment() follower.Assignment {
-	var assignment follower.Assignment
-	d.membership.Read(func(t *tracker.Tracker) {
-		_, reader := t.ReaderRank(d.settings.Node)
-		relays := t.Relays(d.settings.FailureDomain, d.settings.Node)
-		assignment.Reader = reader || len(relays) == 0
-		for _, m := range relays {
-			assignment.Relays = append(assignment.Relays, m.Peer)
-		}
-	})
+	assignment := d.membership.Assignment()
+	assignment.Reader = assignment.Reader || len(assignment.Relays) == 0
 	return assignment
 }
 
@@ -115,7 +108,7 @@
 func (d *daemon) newAnnouncer() *announcer.Announcer {
 	return announcer.New(announcer.Config{
 		Log: d.log, Peers: announcer.PeerClients{Client: d.peers.Client}, Clock: d.clock, Rand: newRand(),
-		Retention: d.settings.Log.Retention, Standing: d.standing,
+		Retention: d.settings.Log.Retention, Standing: d.membership.Standing,
 		Incarnate: func(above identifier.Incarnation) identifier.Incarnation {
 			return max(above+1, newIncarnation(d.clock.Wall()))
 		},
@@ -124,24 +117,6 @@
 	})
 }
 
-// standing tells the announcer what the membership says of this daemon.
-func (d *daemon) standing(incarnation identifier.Incarnation) announcer.Standing {
-	var standing announcer.Standing
-	d.membership.Read(func(t *tracker.Tracker) {
-		standing.Members = t.DomainLen(d.settings.FailureDomain)
-		standing.Present = t.Present(d.settings.Node, incarnation)
-		standing.Above, standing.Removed = t.Removed(d.settings.Node, incarnation)
-		if entry, found := t.Lookup(d.settings.Node); found {
-			standing.Revision, standing.RenewedOffset = entry.Revision, entry.RenewedOffset
-		}
-		_, standing.Reader = t.ReaderRank(d.settings.Node)
-		for _, m := range t.Relays(d.settings.FailureDomain, d.settings.Node) {
-			standing.Readers = append(standing.Readers, m.Peer)
-		}
-	})
-	return standing
-}
-
 // announced joins the membership with what the backend server said of itself.
 func (d *daemon) announced(a receiver.Announcement) {
 	d.mu.Lock()
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -120,6 +121,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	if d.settings.Profiling {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	d.mountAdministration(mux)
 	return mux
 }
--- a/internal/state/tracker/members.go
+++ b/internal/state/tracker/members.go
@@ -1,10 +1,6 @@
 package tracker
 
-import (
-	"iter"
-
-	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
-)
+import "iter"
 
 // Members returns all members in no particular order.
 func (t *Tracker) Members() iter.Seq[Member] {
@@ -20,13 +16,3 @@
 		}
 	}
 }
-
-// DomainLen returns the number of members of a failure domain.
-func (t *Tracker) DomainLen(domain identifier.FailureDomain) int {
-	for i, name := range t.table.domainNames.list {
-		if name == domain && i < len(t.table.domains) {
-			return len(t.table.domains[i].ring)
-		}
-	}
-	return 0
-}
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -105,8 +105,8 @@
 // Len returns the number of members.
 func (t *Tracker) Len() int { return t.table.live }
 
-// Members returns the number of members of a failure domain.
-func (t *Tracker) Members(domain identifier.FailureDomain) int {
+// DomainLen returns the number of members of a failure domain.
+func (t *Tracker) DomainLen(domain identifier.FailureDomain) int {
 	id, ok := t.table.domainNames.ids[domain]
 	if !ok || int(id) >= len(t.table.domains) {
 		return 0
