--- a/internal/coordination/holder/membership_test.go
+++ b/internal/coordination/holder/membership_test.go
@@ -204,6 +204,6 @@
 
 		By("a checkpoint that a newcomer can use")
 		clock.Advance(retention / 4)
-		eventually(func() bool { return daemons[0].Progress(true).Found })
+		eventually(func() bool { return daemons[0].progress().Found })
 	})
 })
