Measure added latency and export the counters of the measuring budget

Cause: no figure of added latency, and the load-measuring budget was counted in the daemon but not visible in /metrics. Ruled out: one global metric registration, because a process may hold several budgets (tests do) and the first would answer for all.

--- a/cmd/magnoliabench/main.go
+++ b/cmd/magnoliabench/main.go
@@ -5,6 +5,7 @@
 //	magnoliabench log --listen 127.0.0.1:7000
 //	magnoliabench backend --listen 127.0.0.1:8000 --announce http://127.0.0.1:9000/announce
 //	magnoliabench load --target 127.0.0.1:9100 --rate 500 --duration 10s
+//	magnoliabench compare random=first.json,second.json
 package main
 
 import (
@@ -27,7 +28,7 @@
 		SilenceErrors: true,
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	root.AddCommand(newLogCommand(log), newBackendCommand(log), newLoadCommand(log))
+	root.AddCommand(newLogCommand(log), newBackendCommand(log), newLoadCommand(log), newCompareCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		log.Error("failed", "error", err.Error())
 		os.Exit(1)
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -114,7 +114,10 @@
 // administration serves metrics, health and the administration API.
 func (d *daemon) administration() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+		d.measuring.WriteMetrics(w)
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if d.draining() || d.configuration.View().Version == 0 {
--- a/internal/transport/receiver/metrics.go
+++ b/internal/transport/receiver/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/limiter"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 )
 
@@ -39,3 +41,23 @@
 	}
 	counter.Inc()
 }
+
+// WriteMetrics writes the totals of the load-measuring budget in the format of
+// Prometheus.
+func (m *Measuring) WriteMetrics(w io.Writer) {
+	for _, kind := range limiter.Kinds {
+		c := m.Counters(kind)
+		for _, total := range []struct {
+			unit, result string
+			value        uint64
+		}{
+			{"messages", "taken", c.TakenMessages},
+			{"messages", "refused", c.RefusedMessages},
+			{"bytes", "taken", c.TakenBytes},
+			{"bytes", "refused", c.RefusedBytes},
+		} {
+			name := fmt.Sprintf(`magnoliaknot_measuring_%s_total{kind=%q,result=%q}`, total.unit, kind, total.result)
+			metrics.WriteCounterUint64(w, name, total.value)
+		}
+	}
+}
