Count one crash once for all running copies of a request

Cause: the fold over the running requests of a crash looked up each verdict after it had stored the entries before it. The second copy of a popular request found the suspicion of the first one and was quarantined on every daemon of the service. Ruled out: an effect of the selection policy; it happened with all four. Before: after one cold instance crashed under 317 requests/s to one path (scripts/measure policies, condition cold), callers got "quarantined" for the rest of the run, 1792 to 2569 of 3862 requests; the added spec fails. After: the verdicts are taken before anything is stored; the added spec passes under -race. Conclusion: a popular request is quarantined only after a second crash, as documented.

--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -114,13 +114,18 @@
 // fingerprint of a popular request must not be refused for that.
 func (q *Quarantiner) crash(wall timer.Millis, e Crash, actions []Action) []Action {
 	alone := !e.Uncertain && same(e.Running)
-	for _, r := range e.Running {
+	// Several running requests may have one fingerprint. They are judged by what
+	// was known before, or one crash would count once for each of them.
+	before := make([]Verdict, len(e.Running))
+	for i, r := range e.Running {
+		before[i], _ = q.Verdict(wall, r.Fingerprint)
+	}
+	for i, r := range e.Running {
 		if !r.HasFingerprint {
 			continue
 		}
 		entry := Entry{Fingerprint: r.Fingerprint, Kind: Suspect, Expires: wall + q.config.Period}
-		before, _ := q.Verdict(wall, r.Fingerprint)
-		if before != Run && (r.Solo || alone) {
+		if before[i] != Run && (r.Solo || alone) {
 			entry.Kind = Quarantined
 		} else {
 			entry.Expires = max(entry.Expires, q.table[r.Fingerprint][Cleared]+1)
--- a/internal/state/quarantiner/quarantiner_test.go
+++ b/internal/state/quarantiner/quarantiner_test.go
@@ -30,6 +30,7 @@
 		{"a crash after a clear that does not count", sequence{both, quarantiner.Complete{Fingerprint: poison, Solo: true, Good: true}, both}, quarantiner.RunSolo},
 		{"a quarantine for a crash of other possible cause", sequence{quarantiner.Crash{Uncertain: true, Running: both.Running[:1]}}, quarantiner.RunSolo},
 		{"a popular request that is refused after one crash", sequence{quarantiner.Crash{Running: both.Running[:1]}}, quarantiner.RunSolo},
+		{"one crash counted once for each running copy of a popular request", sequence{quarantiner.Crash{Running: []quarantiner.Running{both.Running[0], both.Running[0]}}}, quarantiner.RunSolo},
 		{"a third crash", sequence{both, quarantiner.Crash{Running: both.Running[:1]}}, quarantiner.Refuse},
 		{"a wrong remote clock that blocks for ever", sequence{quarantiner.Remote{Entry: quarantiner.Entry{Fingerprint: poison, Kind: quarantiner.Quarantined, Expires: 1 << 60}}}, quarantiner.Refuse},
 	}
