--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -54,6 +54,7 @@
 	set := d.newMetrics()
 	return func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		d.measuring.WriteMetrics(w)
 		metrics.WritePrometheus(w, true)
 	}
 }
