Add benchmarks of the cost per member, change, claim and message

The target in two years has no figures behind it: packages measured single operations, and nothing measured what a member, a service, a change, a claim, a message or a connection costs at 34,000 members and 2,300 services.

internal/capacity puts synthetic members and changes into the real state machines and folds at three sizes and reports the cost of one of them.

--- /dev/null
+++ b/internal/capacity/membership_test.go
@@ -0,0 +1,178 @@
+package capacity_test
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// BenchmarkMemberRecord reports the bytes of membership records in one append.
+func BenchmarkMemberRecord(b *testing.B) {
+	for _, kind := range []struct {
+		name string
+		make func(n int) tracker.Record
+	}{
+		{"join", func(n int) tracker.Record { return tracker.Join{Member: member(n)} }},
+		{"renew", func(n int) tracker.Record { return tracker.Renew{Instance: instanceID(n), Incarnation: incarnation(n)} }},
+		{"leave", func(n int) tracker.Record { return tracker.Leave{Instance: instanceID(n), Incarnation: incarnation(n)} }},
+	} {
+		b.Run(kind.name, func(b *testing.B) {
+			forEach(b, "batch", []int{1, 10, 50}, func(b *testing.B, count int) {
+				var payload []byte
+				for b.Loop() {
+					batch := make([]tracker.Record, 0, count)
+					for n := range count {
+						batch = append(batch, kind.make(n))
+					}
+					payload = must(tracker.EncodeBatch(batch))
+				}
+				b.ReportMetric(float64(len(payload)), "B")
+				b.ReportMetric(float64(len(payload))/float64(count), "B/record")
+			})
+		})
+	}
+}
+
+// BenchmarkMembershipMemory reports the heap of the table after joins, and
+// after every service was asked for.
+func BenchmarkMembershipMemory(b *testing.B) {
+	forEach(b, "members", memberSizes, func(b *testing.B, count int) {
+		var table, used int64
+		for b.Loop() {
+			before := heap()
+			t := membership(count)
+			table = heap() - before
+			for n := range targetServices {
+				t.Instances(serviceName(n))
+			}
+			used = heap() - before
+			runtime.KeepAlive(t)
+		}
+		b.ReportMetric(float64(table)/float64(count), "B/member")
+		b.ReportMetric(float64(used)/float64(count), "B/member-all-services")
+	})
+}
+
+// BenchmarkMembershipCheckpoint reports what a peer spends on a snapshot and a
+// newcomer on taking it.
+func BenchmarkMembershipCheckpoint(b *testing.B) {
+	forEach(b, "members", memberSizes, func(b *testing.B, count int) {
+		t := membership(count)
+		payload := must(t.Checkpoint())
+		b.Run("encode", func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				must(t.Checkpoint())
+			}
+			b.ReportMetric(float64(len(payload)), "B")
+			b.ReportMetric(float64(len(payload))/float64(count), "B/member")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/member")
+		})
+		b.Run("restore", func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				must(tracker.New(tracker.Config{Self: "newcomer", Retention: timer.Day}).Restore(payload))
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/member")
+		})
+	})
+}
+
+// BenchmarkMembershipChange reports one restart in a full table (a join with a
+// new incarnation), alone and with the choice of readers that follows it.
+func BenchmarkMembershipChange(b *testing.B) {
+	for _, assign := range []bool{false, true} {
+		b.Run(fmt.Sprintf("assignment=%t", assign), func(b *testing.B) {
+			forEach(b, "members", memberSizes, func(b *testing.B, count int) {
+				t := membership(count)
+				folded, _ := t.Folded()
+				n := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					b.StopTimer()
+					n++
+					m := member(n * 31 % count)
+					m.Incarnation += identifier.Incarnation(n) << 20
+					payload := must(tracker.EncodeBatch([]tracker.Record{tracker.Join{Member: m}}))
+					b.StartTimer()
+					if err := t.Apply(folded+identifier.Offset(n), payload); err != nil {
+						b.Fatal(err)
+					}
+					if assign {
+						t.ReaderRank(instanceID(0))
+						t.Relays(domainName(0), instanceID(0))
+					}
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkRouteRefresh reports the search for usable members that ingress
+// repeats for each service in use.
+func BenchmarkRouteRefresh(b *testing.B) {
+	schedule := scheduler.New(must(parser.Apply(nil, firstEdits(1))), nil)
+	forEach(b, "members", []int{15, 150, 1200}, func(b *testing.B, count int) {
+		t := tracker.New(tracker.Config{Self: instanceID(0), FailureDomain: domainName(0), Retention: timer.Day})
+		for n := range count {
+			m := member(n)
+			m.Service = "one"
+			if err := t.Apply(identifier.Offset(n), must(tracker.EncodeBatch([]tracker.Record{tracker.Join{Member: m}}))); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			var usable []tracker.Member
+			for _, m := range t.Instances("one") {
+				if d := schedule.Domain(noon, m.FailureDomain); d.Known && !d.Out && t.Usable(m.Instance, 1) {
+					usable = append(usable, m)
+				}
+			}
+			if len(usable) != count {
+				b.Fatal(len(usable))
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/member")
+	})
+}
+
+// claimants lists the members as the runner does for the owners of key shards.
+func claimants(t *tracker.Tracker) []deduplicator.Member {
+	var list []deduplicator.Member
+	for m := range t.Members() {
+		if t.Usable(m.Instance, math.MaxInt64) {
+			list = append(list, deduplicator.Member{
+				Claimant:      deduplicator.Claimant{Instance: m.Instance, Incarnation: m.Incarnation},
+				FailureDomain: m.FailureDomain,
+			})
+		}
+	}
+	return list
+}
+
+// BenchmarkClaimants reports one listing of the members for the lease, and the
+// heap that the lease keeps of it.
+func BenchmarkClaimants(b *testing.B) {
+	forEach(b, "members", memberSizes, func(b *testing.B, count int) {
+		t := membership(count)
+		before := heap()
+		lease := newLease(deduplicator.NewOwnership(deduplicator.DefaultShardCount), 0)
+		b.ReportAllocs()
+		for b.Loop() {
+			lease.Step(1, deduplicator.Members{List: claimants(t)}, nil)
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/member")
+		b.ReportMetric(float64(heap()-before)/float64(count), "B/member")
+		runtime.KeepAlive(lease)
+		runtime.KeepAlive(t)
+	})
+}
