Admit as soon as a new daemon knows the end of the configuration

Cause: the runner told admission of the first answer of the log with a question 3 s before it. For a daemon younger than that the time is before its start, so admission took the answer for one from before a pause. A daemon whose pings are not answered yet refused every attempt as isolated for up to 3 s, though it was announced as ready.

Ruled out: the gap in contact of a long poll (10 s are allowed), pauses of the process (no recheck was logged).

The age of the configuration counts from the question and only after everything up to then was folded, so nothing starts on a state that is still catching up.

--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -255,9 +255,15 @@
 	d.observe(tracker.Observed{Instance: m.Instance, Alive: alive})
 }
 
-// contact tells admission that a stream answered. The question was asked up to
-// a long poll earlier.
+// contact tells admission that a stream answered. The age of the configuration
+// counts from the question, so that a daemon that has just started admits as
+// soon as it knows the end of the configuration. Of other answers only the
+// arrival is known; their questions were asked up to a long poll earlier.
 func (d *daemon) contact() {
+	if age := d.followers[appender.Configuration].ConfirmedAge(); age < watchInterval {
+		d.admission.Contact(d.clock.Now() - age)
+		return
+	}
 	for _, f := range d.followers {
 		if age := f.ContactAge(); age < watchInterval {
 			d.admission.Contact(d.clock.Now() - age - longPoll)
