Answer requests that cannot be read with an outcome

fasthttp's own answers to large bodies and headers carry no outcome, so a caller could not tell that nothing ran. They now say not_run with too_large or bad_request. Specs cover HEAD, empty, large and chunked bodies too.

--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -19,6 +19,7 @@
 // Reasons that ingress gives. Admission adds those of its state machine.
 const (
 	ReasonBadRequest     Reason = "bad_request"
+	ReasonTooLarge       Reason = "too_large"
 	ReasonNoService      Reason = "no_service"
 	ReasonNoInstance     Reason = "no_instance"
 	ReasonNotConfigured  Reason = "not_configured"
--- a/internal/protocol/encoder/refusal.go
+++ b/internal/protocol/encoder/refusal.go
@@ -64,6 +64,8 @@
 	switch r.Reason {
 	case ReasonBadRequest, ReasonKeyRequired:
 		return fasthttp.StatusBadRequest
+	case ReasonTooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
 	case ReasonNoService:
 		return fasthttp.StatusNotFound
 	case ReasonTooDeep:
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -41,7 +41,7 @@
 	limits := d.settings.Limits
 	newServer := func(handler fasthttp.RequestHandler, body int64) *fasthttp.Server {
 		return &fasthttp.Server{
-			Handler: limitAge(handler), Concurrency: int(limits.Connections), ReadBufferSize: int(limits.HeaderBytes),
+			Handler: limitAge(handler), ErrorHandler: receiver.HandleError, Concurrency: int(limits.Connections), ReadBufferSize: int(limits.HeaderBytes),
 			MaxRequestBodySize: int(body), ReadTimeout: readTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
 			NoDefaultServerHeader:        true,
 			DisablePreParseMultipartForm: true, NoDefaultContentType: true,
--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -1,6 +1,7 @@
 package receiver_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"log"
@@ -75,6 +76,12 @@
 	case strings.HasPrefix(path, "/partial"):
 		_, _ = io.WriteString(ctx.Conn(), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
 		_ = ctx.Conn().Close()
+	case strings.HasPrefix(path, "/empty"):
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return
+	case strings.HasPrefix(path, "/length"):
+		ctx.SetBodyString(fmt.Sprint(len(ctx.PostBody())))
+		return
 	case strings.HasPrefix(path, "/shed"):
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.Response.Header.Set(encoder.HeaderOutcome, string(encoder.NotRun))
@@ -305,6 +312,56 @@
 		Expect(w.send(GinkgoTB(), "POST", "/orders", timer.Second).outcome).To(Equal(encoder.Complete))
 	})
 
+	framings := []struct {
+		name, method, path string
+		body               int
+		chunked            bool
+		header             int
+		status             int
+		reason, want       string
+	}{
+		{name: "HEAD", method: "HEAD", path: "/orders", status: 200},
+		{name: "answer without body", method: "GET", path: "/empty", status: 204},
+		{name: "body of 300 KB", method: "POST", path: "/length", body: 300_000, status: 200, want: "300000"},
+		{name: "chunked body", method: "POST", path: "/length", body: 5000, chunked: true, status: 200, want: "5000"},
+		{name: "header over the limit", method: "GET", path: "/length", header: 8 << 10, status: 413, reason: "too_large"},
+	}
+	for _, f := range framings {
+		It("guards against a broken framing and a refusal without outcome: "+f.name, func() {
+			w := newWorld(GinkgoTB(), startBackend().address)
+			request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			request.SetRequestURI("http://" + w.address + f.path)
+			request.Header.SetMethod(f.method)
+			request.Header.Set("X-Long", strings.Repeat("x", f.header))
+			if f.chunked {
+				request.SetBodyStream(strings.NewReader(strings.Repeat("x", f.body)), -1)
+			} else {
+				request.SetBodyString(strings.Repeat("x", f.body))
+			}
+			client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+			Expect(client.DoTimeout(request, response, 5*time.Second)).To(Succeed())
+			Expect(response.StatusCode()).To(Equal(f.status))
+			Expect(string(response.Header.Peek(encoder.HeaderReason))).To(Equal(f.reason))
+			if f.reason == "" {
+				Expect(string(response.Header.Peek(encoder.HeaderOutcome))).To(Equal("complete"))
+				Expect(string(response.Body())).To(Equal(f.want))
+			}
+		})
+	}
+
+	It("guards against a refusal without outcome of a body over the limit", func() {
+		w := newWorld(GinkgoTB(), startBackend().address)
+		conn, err := net.Dial("tcp", w.address)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /length HTTP/1.1\r\nHost: materials\r\nContent-Length: 2000000\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		var response fasthttp.Response
+		Expect(response.Read(bufio.NewReader(conn))).To(Succeed())
+		Expect(response.StatusCode()).To(Equal(fasthttp.StatusRequestEntityTooLarge))
+		Expect(string(response.Header.Peek(encoder.HeaderOutcome))).To(Equal("not_run"))
+	})
+
 	It("guards against calls that nest without end", func() {
 		w := newWorld(GinkgoTB(), startBackend().address)
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/transport/receiver/harness_test.go
+++ b/internal/transport/receiver/harness_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"log/slog"
 	"net"
 	"slices"
@@ -183,7 +185,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &fasthttp.Server{Handler: handler, CloseOnShutdown: true}
+	server := &fasthttp.Server{
+		Handler: handler, CloseOnShutdown: true, ErrorHandler: receiver.HandleError, MaxRequestBodySize: 1 << 20,
+		ReadBufferSize: 4 << 10, Logger: log.New(io.Discard, "", 0),
+	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -14,6 +14,7 @@
 package receiver
 
 import (
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -249,6 +250,18 @@
 // InFlight returns the number of callers' requests in flight.
 func (i *Ingress) InFlight() int64 { return i.inFlight.Load() }
 
+// HandleError answers a request that could not be read. It has not run, since
+// nothing is forwarded before the whole request was read.
+func HandleError(ctx *fasthttp.RequestCtx, err error) {
+	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+	var small *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
+		refusal.Reason = encoder.ReasonTooLarge
+	}
+	refusal.Write(ctx)
+	ctx.SetConnectionClose()
+}
+
 func (i *Ingress) refuse(ctx *fasthttp.RequestCtx, service identifier.ServiceName, refusal encoder.Refusal) {
 	i.metrics.count(service, refusal.Outcome)
 	refusal.Write(ctx)
