Move key shards to preferred daemons

Cause: a shard without owner is taken by the best of the members known so far, so the daemons that start first took most shards and kept them. In the experiment replace_daemon one daemon of 12 owned about half of the keys, and 336 of 859 keyed requests ended key_owner_lost after its loss. Ruled out: the takeover itself, which took 3 to 4 s as designed.

An owner now hands a shard to its first successor if that is preferred. A new property shows that moves end and that none is left.

--- a/internal/coordination/claimer/handover.go
+++ b/internal/coordination/claimer/handover.go
@@ -99,6 +99,22 @@
 	return nil
 }
 
+// Rebalance hands one shard to its first successor if that is preferred to this
+// daemon. It moves one shard at a call, so that few claims wait at a time.
+func (c *Claimer) Rebalance(ctx context.Context) {
+	c.mu.Lock()
+	shard, found := c.lease.Misplaced(c.config.Clock.Now())
+	c.mu.Unlock()
+	if !found {
+		return
+	}
+	ctx, cancel := c.joined(ctx)
+	defer cancel()
+	if !c.handOverShard(ctx, &silentPeers{all: map[deduplicator.Claimant]bool{}}, shard) {
+		c.config.Logger.Warn("shard not moved to the preferred daemon", "shard", shard)
+	}
+}
+
 // joined returns a context that ends with ctx or the claimer.
 func (c *Claimer) joined(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/runner/loops.go
+++ b/internal/runner/loops.go
@@ -13,6 +13,8 @@
 	tickInterval  = 50 * timer.Millis(1)
 	claimInterval = 100 * timer.Millis(1)
 	peersInterval = 30 * timer.Second
+	// rebalanceInterval spreads the moves of shards to preferred daemons.
+	rebalanceInterval = 200 * timer.Millis(1)
 	// ownershipFresh is the age up to which the end of the ownership stream is
 	// reported. A quiet stream is confirmed by each long poll, which takes up to
 	// 2 s behind a relay.
@@ -27,6 +29,7 @@
 		func(ctx context.Context) { every(ctx, tickInterval, d.tick) },
 		func(ctx context.Context) { every(ctx, claimInterval, d.tickClaims) },
 		func(ctx context.Context) { every(ctx, peersInterval, d.dropPeers) },
+		func(ctx context.Context) { every(ctx, rebalanceInterval, func() { d.claimer.Rebalance(ctx) }) },
 	}
 	for _, f := range d.followers {
 		loops = append(loops, f.Run)
--- a/internal/state/deduplicator/lease.go
+++ b/internal/state/deduplicator/lease.go
@@ -19,6 +19,9 @@
 	// before the owner names another. It is shorter than a promise holds, so
 	// that the loss of a successor does not interrupt the owner.
 	successorTimeout = 1200 * timer.Millis(1)
+	// settledAfter is the age of an epoch from which its shard may be moved to a
+	// preferred daemon.
+	settledAfter = 5 * timer.Second
 	// joinDelay is how long an owner with too few successors waits before it
 	// names more.
 	joinDelay = 2 * PromiseSpan
@@ -129,6 +132,27 @@
 	return true
 }
 
+// Misplaced returns a shard that this daemon owns and whose first successor is
+// preferred to it. Daemons that start first take every shard; without giving
+// them away the loss of one daemon would concern most keys.
+func (l *Lease) Misplaced(now timer.Millis) (identifier.Shard, bool) {
+	if l.stopping {
+		return 0, false
+	}
+	for i := range l.shards {
+		shard := identifier.Shard(i)
+		current := l.ownership.Current(shard)
+		if current.Owner != l.self || len(current.Successors) < maxSuccessors || now-l.shards[i].epochSince < settledAfter {
+			continue
+		}
+		preferred := weight(shard, current.Successors[0].Instance) > weight(shard, l.self.Instance)
+		if preferred && l.mayAppend(now, shard) && l.CanGrant(now, shard, current.Epoch) {
+			return shard, true
+		}
+	}
+	return 0, false
+}
+
 // Promise answers an owner that renews its promises; it returns the shards for
 // which this daemon promises not to take over for PromiseSpan.
 func (l *Lease) Promise(now timer.Millis, owner Claimant, shards []ShardEpoch) []ShardEpoch {
--- a/internal/state/deduplicator/lease_test.go
+++ b/internal/state/deduplicator/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -292,6 +293,44 @@
 	}
 }
 
+// Guards against shards that stay with the daemons that started first, and
+// against moves that never end.
+func TestShardsMoveToPreferredDaemons(t *testing.T) {
+	total := 0
+	tester.CheckN(t, 20, func(t *rapid.T) {
+		d := newDeployment(t, 4)
+		first := rapid.IntRange(0, 3).Draw(t, "first daemon")
+		late := slices.Delete(slices.Clone(d.nodes), first, first+1)
+		d.nodes = d.nodes[first : first+1]
+		for range 20 {
+			d.step()
+		}
+		d.nodes = append(d.nodes, late...)
+		moves := 0
+		for range 800 {
+			d.step()
+			d.checkOwners()
+			for _, n := range d.nodes {
+				if _, misplaced := n.lease.Misplaced(d.now); misplaced {
+					moves++
+					d.handOver(n)
+				}
+			}
+		}
+		if total += moves; moves > 12*shardCount {
+			t.Fatalf("%d moves", moves)
+		}
+		for _, n := range d.nodes {
+			if shard, misplaced := n.lease.Misplaced(d.now); misplaced {
+				t.Fatalf("shard %d is still misplaced after %d moves", shard, moves)
+			}
+		}
+	})
+	if total == 0 {
+		t.Fatal("no shard was moved")
+	}
+}
+
 // Guards against two owners of one shard and two runs of one key while owners pause, restart, lose links or
 // the log, hand over, and while append answers are lost. A successor that promises while it takes over is
 // not found within the default of 100 checks.
