Keep the lease's index of members while the list is the same

The claimer hands the list of all members to the lease at every tick, and the lease built a map of 34,000 entries from it each time. It now compares the lists first. One listing with its hand-over takes 12.3 to 13.0 ms and 6.9 MB instead of 15.6 to 17.6 ms and 9.4 MB (BenchmarkClaimants/members=34000, 3 runs on a shared, noisy machine); the rest is the listing itself, which is in internal/runner.

--- a/internal/state/deduplicator/lease.go
+++ b/internal/state/deduplicator/lease.go
@@ -101,7 +101,12 @@
 	return actions
 }
 
+// setMembers takes the list as often as it is given, but builds the index only
+// for another list: for 34,000 members that takes most of the time.
 func (l *Lease) setMembers(members []Member) {
+	if slices.Equal(members, l.members) {
+		return
+	}
 	l.members = members
 	l.running = make(map[Claimant]struct{}, len(members))
 	for _, m := range members {
