--- a/internal/runner/harness_test.go
+++ b/internal/runner/harness_test.go
@@ -52,7 +52,7 @@
   "services": [{"name": "materials", "path_prefixes": ["/"], "instance_class": "standard", "expected_load_per_second": 10,
     "max_in_flight": 20, "max_queue": 40, "default_timeout_ms": 2000, "max_timeout_ms": 5000,
     "retry_budget_percent": 50, "hedge_percent": 0, "idempotent": [{"method": "GET", "path_prefix": "/"}],
-    "deduplication_window_ms": 60000, "quarantine_ms": 60000, "unbounded": false}]
+    "deduplication_window_ms": 60000, "quarantine_ms": 60000}]
 }`), &s)).To(Succeed())
 	for _, change := range changes {
 		change(s)
