--- a/internal/transport/receiver/measuring.go
+++ b/internal/transport/receiver/measuring.go
@@ -41,9 +41,6 @@
 // TakeField takes a load field of an answer; it travels in an existing message.
 func (m *Measuring) TakeField(bytes int) bool { return m.take(limiter.LoadField, 0, bytes) }
 
-// TakePoll takes one poll of the backend server.
-func (m *Measuring) TakePoll(bytes int) bool { return m.take(limiter.Poll, 2, bytes) }
-
 // Counters returns the totals of one kind.
 func (m *Measuring) Counters(kind limiter.Kind) limiter.Counters {
 	m.mu.Lock()
