Let callers close their connections in a planned stop

Cause: the daemon shut its ingress down as soon as nothing ran. A caller's request on its way over a kept connection then found it closed, and the caller could not know whether it ran (connection_closed).

Ruled out: a request cut off inside the daemon (in flight was 0 at the end and the audit found no run told as not run); refused dials, which are counted apart.

The stop now waits for up to 1 s while callers have open connections; each request in that time is refused as draining and its connection closed.

--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -18,6 +18,10 @@
 	// settleTime lets other daemons act on the leave before attempts are
 	// refused, so that a planned stop costs few refusals.
 	settleTime = 500 * timer.Millis(1)
+	// closeTime lets callers' connections end by a refusal that tells them to
+	// close. One closed by the daemon may have a request on its way, whose caller
+	// then cannot know whether it ran.
+	closeTime = timer.Second
 )
 
 // stop is the graceful stop: hand over key ownership, leave, refuse new work,
@@ -49,12 +53,21 @@
 	for d.ingress.InFlight() > 0 && ctx.Err() == nil {
 		time.Sleep(stopPoll.Duration())
 	}
+	d.awaitClosed(ctx, s)
 	// An epoch that was on its way during the first handover is given away too.
 	d.handOver(ctx)
 	d.close(ctx, s)
 	d.logger.Info("stopped", "requests_in_flight", d.ingress.InFlight())
 }
 
+// awaitClosed waits for callers to close their connections.
+func (d *daemon) awaitClosed(ctx context.Context, s *servers) {
+	until := d.clock.Now() + closeTime
+	for s.ingress.GetOpenConnectionsCount() > 0 && d.clock.Now() < until && ctx.Err() == nil {
+		time.Sleep(stopPoll.Duration())
+	}
+}
+
 // handOver gives the key shards away while other daemons still know this one.
 func (d *daemon) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout.Duration())
