Take over a handed shard at once

Cause: after a handover the new owner appended its epoch and asked for promises at the next tick of 100 ms each, and claims of the shard waited meanwhile. Both now happen at once.

--- a/internal/coordination/claimer/receive.go
+++ b/internal/coordination/claimer/receive.go
@@ -48,6 +48,8 @@
 	}
 	c.inbox.setDone(shard, epoch)
 	c.perform(now, c.lease.Step(now, deduplicator.HandedOver{Shard: shard, Epoch: epoch}, nil))
+	// Claims of the shard wait for the new epoch, so it is appended at once.
+	c.perform(now, c.lease.Step(now, deduplicator.Tick{}, nil))
 	return true
 }
 
--- a/internal/coordination/claimer/stream.go
+++ b/internal/coordination/claimer/stream.go
@@ -96,6 +96,10 @@
 	if record.Kind != deduplicator.KindOwn {
 		return
 	}
+	if record.Owner == c.config.Self {
+		// Claims of the shard wait for the successors' promises.
+		c.perform(now, c.lease.Step(now, deduplicator.Tick{}, nil))
+	}
 	delete(c.given, record.Shard)
 	delete(c.appends, record.Shard)
 	// Claims that were handed to this daemon are of use only to the next owner.
