Refresh routes when something has changed

Every route took its members anew each 100 ms, which costs 0.56 to 0.73% of a core for a service of 1,200 members (10 x 0.56 to 0.73 ms, from the measured slope). Members are now refreshed after a change of the membership or the configuration, and once a second for timetables and local liveness.

--- a/internal/coordination/holder/membership.go
+++ b/internal/coordination/holder/membership.go
@@ -70,6 +70,13 @@
 	return m.tracker.Step(now, event)
 }
 
+// Version changes with every change of a member, but not with a renewal.
+func (m *Membership) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Version()
+}
+
 // Read gives exclusive access to the table for the time of a call.
 func (m *Membership) Read(read func(*tracker.Tracker)) {
 	m.mu.Lock()
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -32,6 +32,10 @@
 // Times and limits of ingress.
 const (
 	refreshInterval = 100 * timer.Millis(1)
+	// fullRefreshInterval bounds the age of a route's members when neither the
+	// membership nor the configuration has changed; it covers timetables and
+	// local liveness. A refresh of a service with 1,200 members takes 0.6 ms.
+	fullRefreshInterval = timer.Second
 	// routeIdle is how long an unused service keeps its load data.
 	routeIdle = 10 * timer.Minute
 	// drainRetryAfter tells callers when another daemon has taken over.
@@ -69,7 +73,15 @@
 
 	mu        sync.RWMutex
 	routes    map[identifier.ServiceName]*route
-	refreshed timer.Millis
+	refreshed refreshState
+}
+
+// refreshState is what the routes were last refreshed from.
+type refreshState struct {
+	checkedAt  timer.Millis
+	fullAt     timer.Millis
+	membership uint64
+	version    identifier.Version
 }
 
 // NewIngress returns an ingress without routes; they are made at first use.
@@ -194,10 +206,7 @@
 // at most.
 func (i *Ingress) Tick() {
 	now := i.config.Clock.Now()
-	refresh := now-i.refreshed >= refreshInterval
-	if refresh {
-		i.refreshed = now
-	}
+	refresh := i.refreshDue(now)
 	i.mu.RLock()
 	routes := make(map[identifier.ServiceName]*route, len(i.routes))
 	for service, r := range i.routes {
@@ -217,6 +226,21 @@
 	}
 }
 
+// refreshDue tells whether the members of the routes may have changed.
+func (i *Ingress) refreshDue(now timer.Millis) bool {
+	last := &i.refreshed
+	if now-last.checkedAt < refreshInterval {
+		return false
+	}
+	last.checkedAt = now
+	membership, version := i.config.Membership.Version(), i.config.View().Version
+	if membership == last.membership && version == last.version && now-last.fullAt < fullRefreshInterval {
+		return false
+	}
+	last.membership, last.version, last.fullAt = membership, version, now
+	return true
+}
+
 func (i *Ingress) dropIdle(now timer.Millis) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
