Clear a request that became a suspect in the queue and then ran alone

Found by reading: admission remembered whether an attempt was to run alone from its arrival. One that became a suspect while it waited ran alone and was never cleared, so every copy of it had to run alone until the suspicion ended. The admitter says at the start whether an attempt runs alone; that is used now. The new spec fails without it. Admission's entry is split into two short functions.

--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -98,17 +98,16 @@
 	started := a.config.Clock.Now()
 	timeout := time.NewTimer(min(configurationWait, attempt.Remaining).Duration())
 	defer timeout.Stop()
-	for {
+	for waiting := true; waiting; {
 		changed := a.config.Configuration.Changed()
 		if a.config.Configuration.View().Version >= attempt.Version {
 			break
 		}
 		select {
 		case <-changed:
-			continue
 		case <-timeout.C:
+			waiting = false
 		}
-		break
 	}
 	attempt.Remaining -= a.config.Clock.Now() - started
 	return attempt
@@ -116,38 +115,42 @@
 
 // admit waits until an attempt may start or is refused.
 func (a *Admission) admit(attempt encoder.Attempt, fingerprint identifier.Fingerprint) decision {
+	refused, answer := a.enter(attempt, fingerprint)
+	if answer == nil {
+		return refused
+	}
+	return <-answer
+}
+
+// enter hands an attempt to the admitter, which decides through the channel. The
+// channel is nil if the attempt is refused at once.
+func (a *Admission) enter(attempt encoder.Attempt, fingerprint identifier.Fingerprint) (decision, chan decision) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
 	if attempt.Version > a.applied {
 		a.refresh(now)
 	}
 	switch a.fencer.Arrive(now, attempt.ID) {
 	case fencer.Fenced:
-		a.mu.Unlock()
-		return refuse(encoder.NotRun, encoder.ReasonFenced, 0)
+		return refuse(encoder.NotRun, encoder.ReasonFenced, 0), nil
 	case fencer.Duplicate, fencer.Uncertain:
-		a.mu.Unlock()
-		return refuse(encoder.Unknown, encoder.ReasonFenced, 0)
+		return refuse(encoder.Unknown, encoder.ReasonFenced, 0), nil
 	case fencer.Admitted:
 	}
 	verdict, left := a.quarantiner.Verdict(a.config.Clock.Wall(), fingerprint)
 	if verdict == quarantiner.Refuse {
-		outcome := a.refused(now, attempt.ID)
-		a.mu.Unlock()
-		return refuse(outcome, encoder.ReasonQuarantined, left)
+		return refuse(a.refused(now, attempt.ID), encoder.ReasonQuarantined, left), nil
 	}
 	answer := make(chan decision, 1)
 	a.waiting[attempt.ID] = answer
-	solo := attempt.Solo || verdict == quarantiner.RunSolo
 	a.step(now, admitter.Arrive{
 		Attempt: attempt.ID, Remaining: attempt.Remaining,
-		Fingerprint: fingerprint, HasFingerprint: true, Solo: solo,
+		Fingerprint: fingerprint, HasFingerprint: true,
+		Solo:                 attempt.Solo || verdict == quarantiner.RunSolo,
 		ConfigurationVersion: attempt.Version,
 	})
-	a.mu.Unlock()
-	d := <-answer
-	d.solo = solo
-	return d
+	return decision{}, answer
 }
 
 func refuse(outcome encoder.Outcome, reason encoder.Reason, retryAfter timer.Millis) decision {
@@ -190,7 +193,7 @@
 		a.decide(act.Attempt, refuse(encoder.Unknown, encoder.ReasonFenced, 0))
 		return
 	}
-	a.decide(act.Attempt, decision{start: true, remaining: act.Remaining})
+	a.decide(act.Attempt, decision{start: true, solo: act.Solo, remaining: act.Remaining})
 }
 
 func (a *Admission) decide(attempt identifier.AttemptID, d decision) {
--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -17,6 +17,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
@@ -33,10 +35,12 @@
 	mu       sync.Mutex
 	listener net.Listener
 	runs     map[string]int
+	// release ends the requests that are held.
+	release chan struct{}
 }
 
 func startBackend() *backend {
-	b := &backend{address: "127.0.0.1:0", runs: map[string]int{}}
+	b := &backend{address: "127.0.0.1:0", runs: map[string]int{}, release: make(chan struct{})}
 	b.up()
 	DeferCleanup(b.down)
 	return b
@@ -76,6 +80,8 @@
 	case strings.HasPrefix(path, "/partial"):
 		_, _ = io.WriteString(ctx.Conn(), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
 		_ = ctx.Conn().Close()
+	case strings.HasPrefix(path, "/hold"):
+		<-b.release
 	case strings.HasPrefix(path, "/empty"):
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return
@@ -362,6 +368,35 @@
 		Expect(string(response.Header.Peek(encoder.HeaderOutcome))).To(Equal("not_run"))
 	})
 
+	It("guards against a suspicion that stays on a request that became a suspect in the queue and then ran alone", func() {
+		only := startBackend()
+		w := newWorld(GinkgoTB(), only.address)
+		load := func() admitter.Load {
+			status, _ := w.instances[0].admission.Status()
+			return status.Load
+		}
+		var callers sync.WaitGroup
+		for i := range 18 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				w.send(GinkgoTB(), "POST", fmt.Sprint("/hold/", i), 5*timer.Second)
+			})
+		}
+		Eventually(load).Should(HaveField("InFlight", 18))
+		callers.Go(func() {
+			defer GinkgoRecover()
+			Expect(w.send(GinkgoTB(), "POST", "/queued", 5*timer.Second).outcome).To(Equal(encoder.Complete))
+		})
+		Eventually(load).Should(HaveField("Queued", 1))
+		w.instances[0].admission.Remote("materials", []quarantiner.Entry{{
+			Fingerprint: identifier.NewFingerprint("POST", "/queued", nil),
+			Kind:        quarantiner.Suspect, Expires: w.clock.Wall() + timer.Minute,
+		}})
+		close(only.release)
+		callers.Wait()
+		Eventually(w.entries).Should(ContainElement(HaveField("Kind", quarantiner.Cleared)))
+	})
+
 	It("guards against calls that nest without end", func() {
 		w := newWorld(GinkgoTB(), startBackend().address)
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/transport/receiver/harness_test.go
+++ b/internal/transport/receiver/harness_test.go
@@ -63,6 +63,7 @@
 	address       string
 	mu            sync.Mutex
 	instances     []*instance
+	spread        []quarantiner.Entry
 	stop          chan struct{}
 	stopped       sync.WaitGroup
 }
@@ -116,6 +117,13 @@
 	return slices.Clone(w.instances)
 }
 
+// entries returns the quarantine entries that admissions spread.
+func (w *world) entries() []quarantiner.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.spread)
+}
+
 func (w *world) publish(t testing.TB, text string) {
 	t.Helper()
 	sheet, err := parser.Decode([]byte(text))
@@ -146,6 +154,9 @@
 		Clock: w.clock, FailureDomain: "aarhus", Configuration: w.configuration, Measuring: w.measuring,
 		MaxAnswerBytes: 1 << 20, Alone: func() bool { return true },
 		Spread: func(service identifier.ServiceName, entries []quarantiner.Entry) {
+			w.mu.Lock()
+			w.spread = append(w.spread, entries...)
+			w.mu.Unlock()
 			for _, i := range w.all() {
 				i.admission.Remote(service, entries)
 			}
