Step the selection policy once and probe for the baseline that needs it

Found by reading the whole change: the route passed every event to the filter, which passes it to the policy, and then to the same policy again, so own outstanding attempts weighed double and each latency counted twice. The baseline least_reported got no probes, because only a pick of the main policy kept probing on, so the comparison was not fair to it.

The main policy is stepped once now, and a pick under least_reported keeps probing on.

--- a/internal/state/selector/powerofchoices.go
+++ b/internal/state/selector/powerofchoices.go
@@ -107,7 +107,7 @@
 // Pick returns the best choice that is not excluded. A cold instance or one at
 // its limit is picked only if there is no other or to warm it up.
 func (p *PowerOfChoices) Pick(now timer.Millis, exclusions Exclusions) (identifier.InstanceID, bool) {
-	p.used(now)
+	p.Used(now)
 	p.picks++
 	p.collect(now, exclusions)
 	chosen := p.warmUp(now, exclusions)
--- a/internal/transport/receiver/route.go
+++ b/internal/transport/receiver/route.go
@@ -45,9 +45,14 @@
 
 // route is what ingress knows about one service. It is safe for concurrent use.
 type route struct {
-	mu      sync.Mutex
-	policy  selector.Policy
-	probing *selector.PowerOfChoices
+	mu     sync.Mutex
+	policy selector.Policy
+	// probing chooses probe targets. It is also what policy picks from, unless
+	// a baseline does; then it is stepped beside the policy.
+	probing  *selector.PowerOfChoices
+	baseline bool
+	// probed says that the policy uses probe results.
+	probed  bool
 	members map[identifier.InstanceID]tracker.Member
 	retries *retrier.Budget
 	hedges  *retrier.Budget
@@ -61,12 +66,14 @@
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	probing := selector.NewPowerOfChoices(selector.Config{Self: config.self, Domain: config.domain}, seed)
 	r := &route{
-		probing: probing,
-		members: map[identifier.InstanceID]tracker.Member{},
-		wanted:  map[identifier.InstanceID]timer.Millis{},
-		retries: retrier.NewBudget(retrier.BudgetConfig{Percent: int(service.RetryBudgetPercent)}, now),
-		hedges:  retrier.NewBudget(retrier.BudgetConfig{Percent: int(service.HedgePercent)}, now),
-		queries: retrier.NewBudget(retrier.BudgetConfig{Percent: queryPercent}, now),
+		probing:  probing,
+		baseline: config.policy != PolicyPowerOfChoices,
+		probed:   config.policy == PolicyPowerOfChoices || config.policy == PolicyLeastReported,
+		members:  map[identifier.InstanceID]tracker.Member{},
+		wanted:   map[identifier.InstanceID]timer.Millis{},
+		retries:  retrier.NewBudget(retrier.BudgetConfig{Percent: int(service.RetryBudgetPercent)}, now),
+		hedges:   retrier.NewBudget(retrier.BudgetConfig{Percent: int(service.HedgePercent)}, now),
+		queries:  retrier.NewBudget(retrier.BudgetConfig{Percent: queryPercent}, now),
 	}
 	switch config.policy {
 	case PolicyRandom:
@@ -84,7 +91,9 @@
 // step passes an event to the policy and, for a baseline, to the probe targets.
 func (r *route) step(now timer.Millis, event selector.Event) {
 	r.policy.Step(now, event)
-	r.probing.Step(now, event)
+	if r.baseline {
+		r.probing.Step(now, event)
+	}
 }
 
 // begin counts a request of the service.
@@ -115,6 +124,9 @@
 func (r *route) pick(now timer.Millis, tried []identifier.InstanceID) (member tracker.Member, wantLoad, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.probed {
+		r.probing.Used(now)
+	}
 	instance, found := r.policy.Pick(now, selector.Exclusions{Tried: tried})
 	if !found {
 		return tracker.Member{}, false, false
--- /dev/null
+++ b/internal/transport/receiver/route_test.go
@@ -0,0 +1,51 @@
+package receiver
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// countingPolicy counts the events that reach it.
+type countingPolicy struct {
+	selector.Policy
+	events int
+}
+
+func (c *countingPolicy) Step(now timer.Millis, event selector.Event) {
+	c.events++
+	c.Policy.Step(now, event)
+}
+
+var _ = Describe("the route of a service", func() {
+	cases := []struct {
+		policy PolicyName
+		probes bool
+	}{
+		{PolicyPowerOfChoices, true},
+		{PolicyLeastReported, true},
+		{PolicyRandom, false},
+		{PolicyRoundRobin, false},
+	}
+	for _, c := range cases {
+		It("guards against a policy without the probes it uses, and events that count twice: "+string(c.policy), func() {
+			r := newRoute(routeConfig{self: "caller", domain: "aarhus", policy: c.policy}, &parser.Service{}, 1)
+			counting := &countingPolicy{Policy: r.probing}
+			r.replace(1, []tracker.Member{{Instance: "a"}, {Instance: "b"}})
+			_, _, found := r.pick(1, nil)
+			Expect(found).To(BeTrue())
+			Expect(len(r.targets(2)) > 0).To(Equal(c.probes))
+			if c.policy == PolicyPowerOfChoices {
+				r.policy = counting
+				r.ended(3, identifier.InstanceID("a"), 0, selector.Complete)
+				Expect(counting.events).To(Equal(1))
+				Expect(r.baseline).To(BeFalse(), "the policy is stepped a second time")
+			}
+		})
+	}
+})
