--- /dev/null
+++ b/internal/assembler/run.go
@@ -0,0 +1,148 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	tickInterval = 50 * timer.Millis(1)
+	// noticeTime is how long a stopping daemon serves as before. Callers look at
+	// its readiness once a second and leave after two misses.
+	noticeTime = 2200 * timer.Millis(1)
+	// exitReserve is the part of the grace period that is left for the exit.
+	exitReserve = 500 * timer.Millis(1)
+	stopPoll    = 20 * timer.Millis(1)
+	// peerHeaderBytes leaves room for our own headers beside those of callers.
+	peerHeaderBytes = 32 << 10
+	peerBodyBytes   = 1 << 28
+	peerIdle        = 30 * timer.Second
+)
+
+// Limits of callers until the configuration states its own.
+const (
+	initialHeaderBytes   = 16 << 10
+	initialBodyBytes     = 64 << 20
+	initialHeaderTimeout = 3 * timer.Second
+	initialIdleTimeout   = 15 * timer.Second
+)
+
+// Run serves until the context ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.callerServer = exchanger.NewServer(exchanger.ServerConfig{
+		Handler: d.ingress, Limits: d.callerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
+	})
+	d.peerServer = exchanger.NewServer(exchanger.ServerConfig{
+		Handler: exchanger.HandlerFunc(d.servePeer), Limits: peerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
+	})
+	metrics := exchanger.NewServer(exchanger.ServerConfig{
+		Handler: exchanger.HandlerFunc(serveMetrics), Limits: peerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
+	})
+	failed := make(chan error, 3)
+	for _, s := range []struct {
+		server  *exchanger.Server
+		address identifier.Address
+	}{{d.callerServer, d.config.Addresses.Callers}, {d.peerServer, d.config.Addresses.Peers}, {metrics, d.config.Addresses.Metrics}} {
+		listener, err := net.Listen("tcp4", string(s.address))
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		go func() { failed <- s.server.Serve(listener) }()
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.gossiper.Run(work)
+	go d.config.Source.Follow(work, d.adopt)
+	go d.join(work)
+	go d.tick(work)
+	d.config.Logger.Info("daemon started", "incarnation", d.incarnation, "service", d.config.Service, "failure_domain", d.config.FailureDomain)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		d.config.Logger.Error("server failed", "error", err)
+	}
+	d.stop()
+	return Error.Wrap(err)
+}
+
+// tick lets time pass and notices a suspension of the VM.
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval.Duration())
+	defer ticker.Stop()
+	last := d.clock.Now()
+	for ctx.Err() == nil {
+		now := d.clock.Resync()
+		if now-last > suspended {
+			d.config.Logger.Warn("VM was suspended", "for_ms", now-last)
+			d.peers.CloseIdle()
+			d.config.Source.Refresh()
+		}
+		last = now
+		d.admission.Tick()
+		<-ticker.C
+	}
+}
+
+// suspended is the gap between ticks that means the VM was suspended and its
+// connections may be gone.
+const suspended = 700 * timer.Millis(1)
+
+func (d *Daemon) callerLimits() exchanger.Limits {
+	limits := d.configuration.Snapshot().Limits
+	if limits.HeaderBytes == 0 {
+		return exchanger.Limits{
+			HeaderBytes: initialHeaderBytes, BodyBytes: initialBodyBytes,
+			HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout,
+		}
+	}
+	return exchanger.Limits(limits)
+}
+
+func peerLimits() exchanger.Limits {
+	return exchanger.Limits{
+		HeaderBytes: peerHeaderBytes, BodyBytes: peerBodyBytes, HeaderTimeout: peerIdle, IdleTimeout: peerIdle,
+	}
+}
+
+// reject answers a request that could not be read. Nothing was forwarded of it.
+func (d *Daemon) reject(response *fasthttp.Response, problem exchanger.Problem) {
+	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+	switch problem {
+	case exchanger.BodyTooLarge:
+		refusal.Reason = encoder.ReasonTooLarge
+	case exchanger.HeaderTooLarge:
+		refusal.Reason = encoder.ReasonHeaderTooLarge
+	case exchanger.Malformed:
+	}
+	refusal.Fill(response)
+}
+
+// stop is the graceful stop: callers and daemons go elsewhere while everything
+// still runs, then connections close as they fall idle, and the rest gets the
+// time that is left.
+func (d *Daemon) stop() {
+	end := d.clock.Now() + d.config.Grace - exitReserve
+	d.config.Logger.Info("stopping", "requests_in_flight", d.ingress.InFlight())
+	d.stopping.Store(true)
+	d.admission.Leave()
+	d.callerServer.CloseAfterAnswers()
+	time.Sleep(noticeTime.Duration())
+	d.peerServer.CloseAfterAnswers()
+	for d.clock.Now() < end {
+		busy := d.callerServer.CloseIdle() + d.peerServer.CloseIdle()
+		if busy == 0 && d.ingress.InFlight() == 0 {
+			break
+		}
+		time.Sleep(stopPoll.Duration())
+	}
+	d.config.Logger.Info("stopped", "requests_in_flight", d.ingress.InFlight())
+}
--- /dev/null
+++ b/internal/coordination/gossiper/gossiper.go
@@ -0,0 +1,324 @@
+// Package gossiper tells the other daemons about this one and learns about them.
+//
+// Each daemon sends a report by UDP: to every member when something changed and
+// at a fixed interval, or, in a large fleet, to the members that use its backend
+// server and a random few. A report carries the daemon's load, the version of its
+// configuration and new quarantine entries. A lost report is made good by the
+// next one. A daemon that sees a newer configuration elsewhere fetches it.
+//
+// # Usage
+//
+//	g, err := gossiper.Listen(gossiper.Config{...})
+//	go g.Run(ctx)
+//	g.Poke() // something changed
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("gossiper")
+
+const (
+	// interval is the time between reports without a change. A member is silent
+	// after 1.5 s, so three reports in a row have to be lost.
+	interval = 400 * timer.Millis(1)
+	// quickest is the least time between two reports, so that a burst of changes
+	// costs one.
+	quickest = 4 * timer.Millis(1)
+	// smallFleet is the number of members up to which each gets every report.
+	smallFleet = 32
+	// sample is the number of random members that get a report in a large fleet.
+	sample = 6
+	// usedWithin is how long a member that sent an attempt counts as a user.
+	usedWithin = 2 * timer.Second
+	// repeats is how often a quarantine entry is sent, against lost reports.
+	repeats = 3
+	// maxReport bounds a report; larger datagrams would be fragmented.
+	maxReport = 1400
+	// maxEntries keeps a report below maxReport.
+	maxEntries = 5
+)
+
+// Position is how far a daemon's configuration is.
+type Position struct {
+	Version identifier.Version `json:"version"`
+	Offset  identifier.Offset  `json:"offset"`
+}
+
+// Report is what a daemon tells others.
+type Report struct {
+	Member   registrar.Member    `json:"member"`
+	Position Position            `json:"position"`
+	Entries  []quarantiner.Entry `json:"entries,omitempty"`
+}
+
+// Config holds what a Gossiper needs.
+type Config struct {
+	Address identifier.Address
+	Clock   timer.Clock
+	// Self describes this daemon with a new revision.
+	Self func() registrar.Member
+	// Position tells how far this daemon's configuration is.
+	Position func() Position
+	// Ahead is called when a member has a newer configuration.
+	Ahead func(registrar.Member)
+	// Loaded is called with each report, also with those of this daemon.
+	Loaded func(registrar.Member)
+	// Quarantined is called with entries of members of the same service.
+	Quarantined func([]quarantiner.Entry)
+	Logger      *slog.Logger
+}
+
+// Gossiper exchanges reports. It is safe for concurrent use.
+type Gossiper struct {
+	config Config
+	conn   *net.UDPConn
+	poke   chan struct{}
+
+	mu      sync.Mutex
+	table   *registrar.Registrar
+	users   map[identifier.Incarnation]timer.Millis
+	entries []pendingEntry
+}
+
+type pendingEntry struct {
+	entry quarantiner.Entry
+	left  int
+}
+
+// Listen opens the socket.
+func Listen(config Config) (*Gossiper, error) {
+	address, err := netip.ParseAddrPort(string(config.Address))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Gossiper{
+		config: config, conn: conn, poke: make(chan struct{}, 1),
+		table: registrar.New(config.Self().Node),
+		users: map[identifier.Incarnation]timer.Millis{},
+	}, nil
+}
+
+// Run exchanges reports until the context ends.
+func (g *Gossiper) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() }) // The reader ends with it.
+	defer stop()
+	go g.read()
+	ticker := time.NewTimer(0)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.poke:
+			g.broadcast(false)
+			time.Sleep(quickest.Duration())
+		case <-ticker.C:
+			ticker.Reset(interval.Duration())
+			g.expire()
+			g.broadcast(true)
+		}
+	}
+}
+
+// Poke sends a report soon.
+func (g *Gossiper) Poke() {
+	select {
+	case g.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Learn takes in members that another source named, and reports to them.
+func (g *Gossiper) Learn(members []registrar.Member) {
+	g.mu.Lock()
+	now := g.config.Clock.Now()
+	for _, m := range members {
+		g.table.Learn(now, m)
+	}
+	g.mu.Unlock()
+	g.Poke()
+}
+
+// Spread adds quarantine entries to the next reports.
+func (g *Gossiper) Spread(entries []quarantiner.Entry) {
+	g.mu.Lock()
+	for _, entry := range entries {
+		g.entries = append(g.entries, pendingEntry{entry, repeats})
+	}
+	g.mu.Unlock()
+	g.Poke()
+}
+
+// Used notes that a daemon sent an attempt to the backend server beside this one.
+func (g *Gossiper) Used(sender identifier.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.users[sender] = g.config.Clock.Now()
+}
+
+// Version grows when a member comes, goes or changes other than in load.
+func (g *Gossiper) Version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Version()
+}
+
+// Instances returns the members of a service that take attempts.
+func (g *Gossiper) Instances(service identifier.ServiceName) []registrar.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Instances(g.config.Clock.Now(), service)
+}
+
+// Members returns every known member.
+func (g *Gossiper) Members() []registrar.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Members()
+}
+
+// Speaking returns the number of daemons heard of lately, with this one.
+func (g *Gossiper) Speaking() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Speaking(g.config.Clock.Now()) + 1
+}
+
+func (g *Gossiper) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Clock.Now()
+	g.table.Expire(now)
+	for sender, at := range g.users {
+		if now-at > usedWithin {
+			delete(g.users, sender)
+		}
+	}
+}
+
+// broadcast sends a report. A full one reaches members beyond the users.
+func (g *Gossiper) broadcast(full bool) {
+	report := g.report()
+	g.config.Loaded(report.Member)
+	data, err := json.Marshal(report)
+	if err != nil || len(data) > maxReport {
+		g.config.Logger.Error("report not sent", "bytes", len(data), "error", err)
+		return
+	}
+	for _, address := range g.targets(full) {
+		g.send(address, data)
+	}
+}
+
+func (g *Gossiper) report() Report {
+	report := Report{Member: g.config.Self(), Position: g.config.Position()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	kept := g.entries[:0]
+	for i, pending := range g.entries {
+		if i < maxEntries {
+			report.Entries = append(report.Entries, pending.entry)
+			pending.left--
+		}
+		if pending.left > 0 {
+			kept = append(kept, pending)
+		}
+	}
+	g.entries = kept
+	return report
+}
+
+// targets returns the addresses that a report goes to.
+func (g *Gossiper) targets(full bool) []identifier.Address {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := g.table.Members()
+	var addresses []identifier.Address
+	if len(members) <= smallFleet {
+		for _, m := range members {
+			addresses = append(addresses, m.Report)
+		}
+		return addresses
+	}
+	for _, m := range members {
+		if _, uses := g.users[m.Incarnation]; uses {
+			addresses = append(addresses, m.Report)
+		}
+	}
+	if full {
+		for range sample {
+			addresses = append(addresses, members[rand.IntN(len(members))].Report)
+		}
+	}
+	return addresses
+}
+
+func (g *Gossiper) send(to identifier.Address, data []byte) {
+	address, err := netip.ParseAddrPort(string(to))
+	if err != nil {
+		g.config.Logger.Warn("member has no valid address", "address", to, "error", err.Error())
+		return
+	}
+	_, _ = g.conn.WriteToUDPAddrPort(data, address) // A lost report is made good by the next.
+}
+
+func (g *Gossiper) read() {
+	buffer := make([]byte, maxReport+1)
+	for {
+		n, _, err := g.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return // The socket was closed.
+		}
+		var report Report
+		if err := json.Unmarshal(buffer[:n], &report); err != nil || report.Member.Node == "" {
+			g.config.Logger.Debug("report not readable", "bytes", n)
+			continue
+		}
+		g.receive(report)
+	}
+}
+
+func (g *Gossiper) receive(report Report) {
+	m := report.Member
+	g.mu.Lock()
+	change := g.table.Observe(g.config.Clock.Now(), m)
+	g.mu.Unlock()
+	switch change {
+	case registrar.Stale:
+		return
+	case registrar.Joined, registrar.Restarted:
+		g.config.Logger.Info("member joined", "member", m.Node, "service", m.Service, "incarnation", m.Incarnation)
+		g.Poke()
+	case registrar.MemberChanged:
+		g.config.Logger.Info("member changed", "member", m.Node, "accepting", m.Accepting, "slots", m.Slots)
+	case registrar.LoadChanged:
+	}
+	g.config.Loaded(m)
+	if len(report.Entries) > 0 {
+		g.config.Quarantined(report.Entries)
+	}
+	if own := g.config.Position(); report.Position.Offset > own.Offset || report.Position.Version > own.Version {
+		g.config.Ahead(m)
+	}
+}
--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
@@ -23,6 +24,50 @@
 	Solo bool
 	// WantLoad asks for the load field in the answer.
 	WantLoad bool
+	Urgency  Urgency
+}
+
+// Urgency is how an attempt waits for its start. The zero value waits until its
+// deadline and may not be repeated.
+type Urgency struct {
+	// Priority ranks attempts; 0 is the most urgent.
+	Priority int
+	// MaxWait bounds the wait for the start. Zero means until the deadline.
+	MaxWait timer.Millis
+	// Idempotent attempts may be sent again by admission if a kept connection
+	// broke before an answer.
+	Idempotent bool
+}
+
+// maxPriority bounds the ranks of attempts.
+const maxPriority = 1 << 20
+
+// String encodes the urgency for a header.
+func (u Urgency) String() string {
+	buf := strconv.AppendInt(make([]byte, 0, 24), int64(u.Priority), 10)
+	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, int64(u.MaxWait), 10)
+	if u.Idempotent {
+		buf = append(buf, " i"...)
+	}
+	return string(buf)
+}
+
+// ParseUrgency reads and checks an urgency as String encodes it.
+func ParseUrgency(text string) (Urgency, error) {
+	parts := strings.Fields(text)
+	if len(parts) < 2 || len(parts) > 3 || len(parts) == 3 && parts[2] != "i" {
+		return Urgency{}, Error.New("%s %q has not two or three parts", HeaderUrgency, text)
+	}
+	priority, err := strconv.Atoi(parts[0])
+	if err != nil || priority < 0 || priority > maxPriority {
+		return Urgency{}, Error.New("%s %q: priority is not between 0 and %d", HeaderUrgency, text, maxPriority)
+	}
+	wait, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || wait < 0 || timer.Millis(wait) > timer.Day {
+		return Urgency{}, Error.New("%s %q: wait is not a time in ms between 0 and one day", HeaderUrgency, text)
+	}
+	return Urgency{Priority: priority, MaxWait: timer.Millis(wait), Idempotent: len(parts) == 3}, nil
 }
 
 // Encode writes the attempt into a request's headers.
@@ -31,6 +76,9 @@
 	header.Set(HeaderTimeout, strconv.FormatInt(int64(a.Remaining), 10))
 	header.Set(HeaderVersion, strconv.FormatUint(uint64(a.Version), 10))
 	header.Set(HeaderDepth, strconv.Itoa(a.Depth))
+	if a.Urgency != (Urgency{}) {
+		header.Set(HeaderUrgency, a.Urgency.String())
+	}
 	if a.Solo {
 		header.Set(HeaderSolo, "1")
 	}
@@ -60,8 +108,14 @@
 	if err != nil {
 		return err
 	}
+	var urgency Urgency
+	if text := header.Peek(HeaderUrgency); len(text) > 0 {
+		if urgency, err = ParseUrgency(string(text)); err != nil {
+			return err
+		}
+	}
 	*a = Attempt{
-		ID: id, Remaining: remaining, Version: identifier.Version(version), Depth: depth,
+		ID: id, Remaining: remaining, Version: identifier.Version(version), Depth: depth, Urgency: urgency,
 		Solo:     len(header.Peek(HeaderSolo)) > 0,
 		WantLoad: len(header.Peek(HeaderWant)) > 0,
 	}
--- a/internal/protocol/encoder/header.go
+++ b/internal/protocol/encoder/header.go
@@ -34,7 +34,8 @@
 	HeaderSolo    = "Magnoliaknot-Solo"
 	HeaderLoad    = "Magnoliaknot-Load"
 	HeaderWant    = "Magnoliaknot-Want-Load"
+	HeaderUrgency = "Magnoliaknot-Urgency"
 )
 
 // internalHeaders lists what ingress removes from a caller's request.
-var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWant}
+var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWant, HeaderUrgency}
--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -20,6 +20,7 @@
 const (
 	ReasonBadRequest     Reason = "bad_request"
 	ReasonTooLarge       Reason = "too_large"
+	ReasonHeaderTooLarge Reason = "header_too_large"
 	ReasonNoService      Reason = "no_service"
 	ReasonNoInstance     Reason = "no_instance"
 	ReasonNotConfigured  Reason = "not_configured"
--- a/internal/protocol/encoder/refusal.go
+++ b/internal/protocol/encoder/refusal.go
@@ -20,10 +20,13 @@
 }
 
 // Write sends the refusal as headers and a JSON body.
-func (r Refusal) Write(ctx *fasthttp.RequestCtx) {
-	ctx.Response.Reset()
-	ctx.SetStatusCode(r.status())
-	header := &ctx.Response.Header
+func (r Refusal) Write(ctx *fasthttp.RequestCtx) { r.Fill(&ctx.Response) }
+
+// Fill turns a response into the refusal.
+func (r Refusal) Fill(response *fasthttp.Response) {
+	response.Reset()
+	response.SetStatusCode(r.Status())
+	header := &response.Header
 	header.Set(HeaderOutcome, string(r.Outcome))
 	header.Set(HeaderReason, string(r.Reason))
 	if r.RetryAfterMs == 0 && r.temporary() {
@@ -33,9 +36,9 @@
 		header.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(r.RetryAfterMs), 10))
 		header.Set(HeaderRetryAfter, strconv.FormatInt(int64((r.RetryAfterMs+timer.Second-1)/timer.Second), 10))
 	}
-	ctx.SetContentType("application/json")
+	header.SetContentType("application/json")
 	body, _ := json.Marshal(r) // The struct holds only strings and numbers.
-	ctx.SetBody(append(body, '\n'))
+	response.SetBody(append(body, '\n'))
 }
 
 // Decode reads a refusal from an answer's headers; found is false for an
@@ -56,16 +59,19 @@
 
 // temporary tells whether the same request may be accepted a moment later.
 func (r Refusal) temporary() bool {
-	status := r.status()
+	status := r.Status()
 	return r.Outcome == NotRun && (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests)
 }
 
-func (r Refusal) status() int {
+// Status returns the HTTP status of the refusal.
+func (r Refusal) Status() int {
 	switch r.Reason {
 	case ReasonBadRequest, ReasonKeyRequired:
 		return fasthttp.StatusBadRequest
 	case ReasonTooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
+	case ReasonHeaderTooLarge:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case ReasonNoService:
 		return fasthttp.StatusNotFound
 	case ReasonTooDeep:
--- a/internal/state/admitter/admitter.go
+++ b/internal/state/admitter/admitter.go
@@ -62,6 +62,7 @@
 	backend     backend
 	predecessor predecessor
 	ramp        ramp
+	pace        pace
 	queue       queue
 	running     map[identifier.AttemptID]run
 	soloRuns    bool
@@ -113,6 +114,8 @@
 		a.domain, a.domainKnown, a.paused = e, true, false
 	case Contact:
 		a.contact, a.contacted, a.alone = a.now, true, e.Alone
+	case Pace:
+		a.pace.set(a.now, e)
 	case Drain:
 		if !a.stopping {
 			a.stopping, a.drained = true, false
@@ -159,16 +162,23 @@
 		actions = append(actions, Refuse{Attempt: e.Attempt, Reason: reason, RetryAfter: a.retryAfter(reason)})
 		return a.start(actions)
 	}
+	startBy := a.now + remaining
+	if e.MaxWait > 0 {
+		startBy = min(startBy, a.now+e.MaxWait)
+	}
 	a.queue.push(entry{
-		attempt: e.Attempt, deadline: a.now + remaining,
+		attempt: e.Attempt, deadline: a.now + remaining, startBy: startBy, priority: e.Priority,
 		fingerprint: e.Fingerprint, hasFingerprint: e.HasFingerprint, solo: e.Solo,
 	})
 	actions = a.start(actions)
-	last := a.queue.len() - 1
-	if last < 0 || a.queue.entries[last].attempt != e.Attempt {
+	place := a.queue.find(e.Attempt)
+	if place < 0 {
 		return actions
 	}
-	if last >= a.limits.MaxQueue || a.wait(last+1) >= remaining {
+	if place >= a.limits.MaxQueue || a.wait(place+1) >= startBy-a.now {
+		return a.refuse(place, a.overload(), actions)
+	}
+	if last := a.queue.len() - 1; last >= a.limits.MaxQueue {
 		return a.refuse(last, a.overload(), actions)
 	}
 	return actions
--- a/internal/state/admitter/event.go
+++ b/internal/state/admitter/event.go
@@ -19,6 +19,19 @@
 	Solo bool
 	// ConfigurationVersion is the version that the sender applied.
 	ConfigurationVersion identifier.Version
+	// Priority ranks attempts in the queue; 0 is the most urgent.
+	Priority int
+	// MaxWait bounds the wait in the queue. Zero means until the deadline.
+	MaxWait timer.Millis
+}
+
+// Pace bounds the starts in any second, for a backend server that bears only a
+// rate while it is cold. PerSecond of zero means no bound.
+type Pace struct {
+	PerSecond int
+	// Spent counts the last second as used up, for a daemon that does not know
+	// what its predecessor started.
+	Spent bool
 }
 
 // Complete says that a started attempt ended.
@@ -93,3 +106,4 @@
 func (Contact) event()     {}
 func (Drain) event()       {}
 func (Restrict) event()    {}
+func (Pace) event()        {}
--- a/internal/state/admitter/gate.go
+++ b/internal/state/admitter/gate.go
@@ -35,7 +35,11 @@
 		return actions
 	}
 	for i := a.queue.expired(a.now); i >= 0; i = a.queue.expired(a.now) {
-		actions = a.refuse(i, ReasonDeadline, actions)
+		reason := ReasonDeadline
+		if a.now < a.queue.entries[i].deadline {
+			reason = a.overload()
+		}
+		actions = a.refuse(i, reason, actions)
 	}
 	if reason := a.closed(); reason != "" {
 		for a.queue.len() > 0 {
@@ -45,7 +49,7 @@
 	return actions
 }
 
-// start starts queued attempts in arrival order. An attempt that must run alone
+// start starts queued attempts in the order of the queue. An attempt that must run alone
 // is passed over while a crash or a predecessor could be mistaken for its own
 // doing; then it holds back those behind it until the others have ended.
 func (a *Admitter) start(actions []Action) []Action {
@@ -53,7 +57,7 @@
 		return actions
 	}
 	limit, foreign := a.limit(), a.foreign()
-	for i := 0; i < a.queue.len() && len(a.running)+foreign < limit; {
+	for i := 0; i < a.queue.len() && len(a.running)+foreign < limit && a.pace.allows(a.now); {
 		e := a.queue.entries[i]
 		switch {
 		case !e.solo:
@@ -72,6 +76,7 @@
 
 func (a *Admitter) begin(i int, actions []Action) []Action {
 	e := a.queue.remove(i)
+	a.pace.started(a.now)
 	a.running[e.attempt] = run{
 		fingerprint: e.fingerprint, hasFingerprint: e.hasFingerprint, solo: e.solo,
 		proven: a.backend.proven, epoch: a.ramp.epoch, incarnation: a.backend.incarnation,
@@ -111,7 +116,7 @@
 
 // overload names the cause of a full queue or a long wait.
 func (a *Admitter) overload() Reason {
-	if a.ramp.cold && a.ramp.limit == a.limit() {
+	if a.ramp.cold && a.ramp.limit == a.limit() || !a.pace.allows(a.now) {
 		return ReasonCold
 	}
 	return ReasonOverloaded
@@ -149,5 +154,5 @@
 	if a.soloRuns {
 		rounds++
 	}
-	return timer.Millis(rounds * a.ramp.mean)
+	return max(timer.Millis(rounds*a.ramp.mean), a.pace.wait(a.now, place))
 }
--- a/internal/state/admitter/queue.go
+++ b/internal/state/admitter/queue.go
@@ -9,18 +9,21 @@
 
 // entry is a queued attempt.
 type entry struct {
-	attempt        identifier.AttemptID
-	deadline       timer.Millis
+	attempt  identifier.AttemptID
+	deadline timer.Millis
+	// startBy is when waiting ends; not later than the deadline.
+	startBy        timer.Millis
+	priority       int
 	fingerprint    identifier.Fingerprint
 	hasFingerprint bool
 	solo           bool
 }
 
-// queue holds attempts in arrival order.
+// queue holds attempts by priority, those of one priority in arrival order.
 type queue struct {
 	entries []entry
 	solos   int
-	// earliest is not later than the first deadline, so that the queue is
+	// earliest is not later than the first startBy, so that the queue is
 	// searched for expired entries only when there can be one.
 	earliest timer.Millis
 }
@@ -28,13 +31,17 @@
 func (q *queue) len() int { return len(q.entries) }
 
 func (q *queue) push(e entry) {
-	if len(q.entries) == 0 || e.deadline < q.earliest {
-		q.earliest = e.deadline
+	if len(q.entries) == 0 || e.startBy < q.earliest {
+		q.earliest = e.startBy
 	}
 	if e.solo {
 		q.solos++
 	}
-	q.entries = append(q.entries, e)
+	place := len(q.entries)
+	for place > 0 && q.entries[place-1].priority > e.priority {
+		place--
+	}
+	q.entries = slices.Insert(q.entries, place, e)
 }
 
 func (q *queue) remove(i int) entry {
@@ -50,17 +57,17 @@
 	return slices.IndexFunc(q.entries, func(e entry) bool { return e.attempt == attempt })
 }
 
-// expired returns the index of an entry whose deadline has passed, or -1.
+// expired returns the index of an entry that has waited long enough, or -1.
 func (q *queue) expired(now timer.Millis) int {
 	if len(q.entries) == 0 || now < q.earliest {
 		return -1
 	}
-	earliest := q.entries[0].deadline
+	earliest := q.entries[0].startBy
 	for i, e := range q.entries {
-		if e.deadline <= now {
+		if e.startBy <= now {
 			return i
 		}
-		earliest = min(earliest, e.deadline)
+		earliest = min(earliest, e.startBy)
 	}
 	q.earliest = earliest
 	return -1
--- a/internal/state/quarantiner/entry.go
+++ b/internal/state/quarantiner/entry.go
@@ -36,9 +36,9 @@
 
 // Entry says something of a fingerprint until a time in Unix ms.
 type Entry struct {
-	Fingerprint identifier.Fingerprint
-	Kind        Kind
-	Expires     timer.Millis
+	Fingerprint identifier.Fingerprint `json:"fingerprint"`
+	Kind        Kind                   `json:"kind"`
+	Expires     timer.Millis           `json:"expires"`
 }
 
 // Verdict is the decision on an arriving request.
--- a/internal/state/retrier/attempt.go
+++ b/internal/state/retrier/attempt.go
@@ -25,18 +25,20 @@
 	interval timer.Millis
 	fate     fate
 	queries  uint8
+	// free says that no backend server got the attempt.
+	free bool
 	// finished says that admission reported the attempt finished.
 	finished bool
 }
 
 func (a *attempt) open() bool { return a.fate == pending || a.fate == broken }
 
-// breakOff notes that no answer can come. An attempt that may be repeated needs
+// breakOff notes that no answer can come. An attempt that is settled needs
 // no proof.
-func (a *attempt) breakOff(now, stall timer.Millis, repeatable bool) {
+func (a *attempt) breakOff(now, stall timer.Millis, settled bool) {
 	switch {
 	case a.fate != pending:
-	case repeatable || a.finished:
+	case settled || a.finished:
 		a.fate = lost
 	default:
 		a.fate, a.due, a.interval, a.queries = broken, now, stall, 0
--- a/internal/state/retrier/events.go
+++ b/internal/state/retrier/events.go
@@ -76,7 +76,9 @@
 	// NotRun proves that an attempt has not run: admission refused and fenced
 	// it, or no byte of it was written. RetryAfter of zero means no hint.
 	NotRun struct {
-		Attempt    Attempt
+		Attempt Attempt
+		// Arrived says that a backend server got the attempt and declined it.
+		Arrived    bool
 		Reason     Reason
 		RetryAfter timer.Millis
 	}
--- a/internal/state/retrier/retrier.go
+++ b/internal/state/retrier/retrier.go
@@ -65,6 +65,9 @@
 	// HedgeDelay is the time after which a second attempt is sent. Zero means
 	// no hedging.
 	HedgeDelay timer.Millis
+	// FreeRefusals is the number of attempts, refused before they reached a
+	// backend server, that count neither as attempts nor against the budgets.
+	FreeRefusals int
 	// Solo marks a request suspected of crashing backend servers. It is never
 	// repeated.
 	Solo bool
@@ -79,6 +82,8 @@
 
 	attempts  [maxAttempts]attempt
 	sent      Attempt
+	refusals  int // Free ones.
+	taken     int // Tokens taken for attempts after the first.
 	begun     bool
 	finished  bool
 	gone      bool
@@ -133,7 +138,9 @@
 		r.notRun(e)
 	case Unknown:
 		if a := r.find(e.Attempt); a != nil {
-			a.breakOff(r.now, r.config.StallTimeout, r.config.repeatable())
+			// An attempt that nobody may be asked about cannot be proven.
+			settled := r.config.repeatable() || r.budgets.Queries == nil
+			a.breakOff(r.now, r.config.StallTimeout, settled)
 		}
 	case FenceResult:
 		r.fenceResult(e)
@@ -171,6 +178,10 @@
 	if a == nil {
 		return
 	}
+	if a.fate != notRun && !e.Arrived && r.refusals < r.config.FreeRefusals {
+		a.free = true
+		r.refusals++
+	}
 	a.fate = notRun
 	// That no instance is left is worth telling only if none has refused.
 	if e.Reason != ReasonNoInstance || r.reason == "" {
@@ -273,13 +284,29 @@
 // mayRetry reports whether another attempt is allowed, and takes it from the
 // retry budget.
 func (r *Retrier) mayRetry() bool {
-	if r.gone || r.exhausted || int(r.sent) >= r.config.MaxAttempts {
+	if r.gone || r.exhausted || r.counted() >= r.config.MaxAttempts || int(r.sent) >= maxAttempts {
 		return false
 	}
 	if !r.config.repeatable() && !r.provenNotRun() {
 		return false
 	}
-	return take(r.budgets.Retries, r.now)
+	return r.afford(r.budgets.Retries)
+}
+
+// counted returns the number of attempts that may have reached a backend server.
+func (r *Retrier) counted() int { return int(r.sent) - r.refusals }
+
+// afford takes a token for an attempt unless it would be the first to reach a
+// backend server.
+func (r *Retrier) afford(budget Taker) bool {
+	if r.config.FreeRefusals > 0 && r.taken >= r.counted() {
+		return true
+	}
+	if !take(budget, r.now) {
+		return false
+	}
+	r.taken++
+	return true
 }
 
 func (r *Retrier) provenNotRun() bool {
@@ -293,7 +320,7 @@
 
 func (r *Retrier) hedge() {
 	r.hedgeAt = 0
-	if !r.exhausted && int(r.sent) < r.config.MaxAttempts && take(r.budgets.Hedges, r.now) {
+	if !r.exhausted && r.counted() < r.config.MaxAttempts && int(r.sent) < maxAttempts && r.afford(r.budgets.Hedges) {
 		r.send(true)
 	}
 }
--- /dev/null
+++ b/internal/state/router/router.go
@@ -0,0 +1,98 @@
+// Package router holds the configuration that routes requests: which service a
+// request goes to, how often and how long it may be tried, and which failure
+// domains are out of service.
+//
+// # Usage
+//
+//	holder := router.NewHolder()
+//	holder.Adopt(snapshot) // false if it is older than the one in force
+//	route, found := holder.Snapshot().Table.Lookup("shop.example", "/orders/17")
+//	service := splitter.Pick(route)
+package router
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Route says how requests of a host with a path prefix are handled.
+type Route struct {
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"path_prefix"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// MaxAttempts is the number of instances that one request may be sent to.
+	MaxAttempts int `json:"max_attempts"`
+	// Timeout bounds how long a caller waits.
+	Timeout timer.Millis `json:"timeout_ms"`
+	// Target is the latency within which an answer has its full value.
+	Target timer.Millis `json:"target_ms"`
+	// Priority ranks routes; 0 is the most urgent.
+	Priority int `json:"priority"`
+	// Parts are the services that share the requests. There is at least one.
+	Parts []Part `json:"parts"`
+}
+
+// Part is a service with its share of a route's requests.
+type Part struct {
+	Service identifier.ServiceName `json:"service"`
+	Weight  int                    `json:"weight"`
+}
+
+// Service is what the configuration says of a service's backend servers.
+type Service struct {
+	Name       identifier.ServiceName `json:"name"`
+	HealthPath string                 `json:"health_path"`
+	// Connections is the number that a backend server accepts from all callers.
+	Connections int `json:"connections"`
+	// ColdSpan is how long a backend server stays cold after its start.
+	ColdSpan timer.Millis `json:"cold_span_ms"`
+	// ColdPerSecond is the number of requests a second that a cold one bears.
+	ColdPerSecond float64 `json:"cold_per_second"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int          `json:"header_bytes"`
+	BodyBytes     int          `json:"body_bytes"`
+	HeaderTimeout timer.Millis `json:"header_timeout_ms"`
+	IdleTimeout   timer.Millis `json:"idle_timeout_ms"`
+}
+
+// Table finds the route of a request.
+type Table struct {
+	// hosts holds the routes of each host, those with the longest prefix first.
+	hosts map[string][]*Route
+}
+
+// NewTable indexes routes.
+func NewTable(routes []Route) *Table {
+	t := &Table{hosts: make(map[string][]*Route, len(routes))}
+	for i := range routes {
+		r := &routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(x, y *Route) int { return len(y.PathPrefix) - len(x.PathPrefix) })
+	}
+	return t
+}
+
+// Lookup returns the route of the host with the longest prefix of the path. The
+// host may carry a port.
+func (t *Table) Lookup(host, path string) (*Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/state/router/snapshot.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+// Snapshot is a configuration with the failure domains out of service, as of one
+// position of the platform's store. It does not change.
+type Snapshot struct {
+	// Version numbers the configuration. Zero means that none is known.
+	Version identifier.Version `json:"version"`
+	// Offset is the store's position as of which the snapshot is complete.
+	Offset   identifier.Offset          `json:"offset"`
+	Routes   []Route                    `json:"routes"`
+	Services []Service                  `json:"services"`
+	Limits   Limits                     `json:"limits"`
+	Out      []identifier.FailureDomain `json:"out"`
+
+	table    *Table
+	services map[identifier.ServiceName]*Service
+}
+
+// Index prepares the snapshot for lookups. Call it once before Adopt.
+func (s *Snapshot) Index() *Snapshot {
+	s.table = NewTable(s.Routes)
+	s.services = make(map[identifier.ServiceName]*Service, len(s.Services))
+	for i := range s.Services {
+		s.services[s.Services[i].Name] = &s.Services[i]
+	}
+	return s
+}
+
+// Lookup returns the route of a request.
+func (s *Snapshot) Lookup(host, path string) (*Route, bool) { return s.table.Lookup(host, path) }
+
+// Service returns what the configuration says of a service.
+func (s *Snapshot) Service(name identifier.ServiceName) (*Service, bool) {
+	service, found := s.services[name]
+	return service, found
+}
+
+// IsOut reports whether a failure domain is out of service.
+func (s *Snapshot) IsOut(domain identifier.FailureDomain) bool { return slices.Contains(s.Out, domain) }
+
+// Holder keeps the newest snapshot. It is safe for concurrent use by readers and
+// one writer at a time.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// NewHolder returns a holder with an empty snapshot.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.current.Store((&Snapshot{}).Index())
+	return h
+}
+
+// Snapshot returns the snapshot in force.
+func (h *Holder) Snapshot() *Snapshot { return h.current.Load() }
+
+// Adopt puts a snapshot in force and reports whether it did. A snapshot of an
+// earlier position, or with an earlier version, would take changes back.
+func (h *Holder) Adopt(next *Snapshot) bool {
+	for {
+		current := h.current.Load()
+		if next.Version < current.Version || next.Offset < current.Offset ||
+			next.Version == current.Version && next.Offset == current.Offset {
+			return false
+		}
+		if h.current.CompareAndSwap(current, next) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/router/splitter.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+// Splitter spreads the requests of each route over its parts by smooth weighted
+// round robin: any run of requests differs from the weights by less than one
+// request a part. Each daemon begins at a random place, so that daemons with few
+// requests do not all favour the same part. It is safe for concurrent use.
+type Splitter struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	states map[string]*split
+}
+
+// split is the state of one route.
+type split struct {
+	parts   []Part
+	total   int
+	credits []int
+}
+
+// NewSplitter returns a splitter without state.
+func NewSplitter(random *rand.Rand) *Splitter {
+	return &Splitter{random: random, states: map[string]*split{}}
+}
+
+// Pick returns the service of the next request of a route.
+func (s *Splitter) Pick(route *Route) identifier.ServiceName {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, found := s.states[route.Name]
+	if !found || !slices.Equal(state.parts, route.Parts) {
+		state = newSplit(route.Parts)
+		for range s.random.IntN(max(1, state.total)) {
+			state.next()
+		}
+		s.states[route.Name] = state
+	}
+	return state.next()
+}
+
+// Keep drops the state of routes that are gone.
+func (s *Splitter) Keep(routes []Route) {
+	names := make(map[string]struct{}, len(routes))
+	for i := range routes {
+		names[routes[i].Name] = struct{}{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.states {
+		if _, found := names[name]; !found {
+			delete(s.states, name)
+		}
+	}
+}
+
+func newSplit(parts []Part) *split {
+	state := &split{parts: parts, credits: make([]int, len(parts))}
+	for _, p := range parts {
+		state.total += p.Weight
+	}
+	return state
+}
+
+// next gives each part its weight in credits and takes the total from the richest.
+func (s *split) next() identifier.ServiceName {
+	best := 0
+	for i, p := range s.parts {
+		s.credits[i] += p.Weight
+		if s.credits[i] > s.credits[best] {
+			best = i
+		}
+	}
+	s.credits[best] -= s.total
+	return s.parts[best].Service
+}
--- a/internal/state/selector/policy.go
+++ b/internal/state/selector/policy.go
@@ -7,6 +7,9 @@
 // timer (Prober), so that their number does not depend on the request rate.
 // Random, RoundRobin and LeastReported are baselines.
 //
+// LeastExpected is for fleets whose admissions push their load on each change:
+// it compares all instances by the time that an attempt is expected to take.
+//
 // Filter wraps a policy and keeps ejected instances away from it.
 //
 // # Usage
@@ -71,6 +74,9 @@
 	// is not known.
 	Limit int32
 	Cold  bool
+	// SlowdownPercent is how long work takes on the VM; 100 is as usual. Zero
+	// means that it is not known.
+	SlowdownPercent int32
 	// MeanLatency is a moving mean. Zero means that it is not known.
 	MeanLatency time.Duration
 	// ReceivedAt is the local time at which the report arrived.
--- /dev/null
+++ b/internal/transport/dispatcher/fleet.go
@@ -0,0 +1,120 @@
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// fleet is what ingress knows of the instances of one service. It is safe for
+// concurrent use.
+type fleet struct {
+	mu      sync.Mutex
+	policy  selector.Policy
+	members map[identifier.InstanceID]registrar.Member
+	version uint64
+	fullAt  timer.Millis
+	window  *retrier.Window
+	answers retrier.Latencies
+}
+
+func newFleet(domain identifier.FailureDomain, window retrier.WindowConfig, now timer.Millis) *fleet {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &fleet{
+		policy:  selector.NewFilter(selector.NewLeastExpected(domain, random)),
+		members: map[identifier.InstanceID]registrar.Member{},
+		window:  retrier.NewWindow(window, now),
+	}
+}
+
+// begin counts a request.
+func (f *fleet) begin(now timer.Millis, window retrier.WindowConfig) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.window.Configure(window)
+	f.window.Earn(now)
+}
+
+// pick chooses an instance and counts the attempt to it.
+func (f *fleet) pick(now timer.Millis, tried []identifier.InstanceID) (registrar.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	instance, found := f.policy.Pick(now, selector.Exclusions{Tried: tried})
+	if !found {
+		return registrar.Member{}, false
+	}
+	f.policy.Step(now, selector.AttemptSent{Instance: instance})
+	return f.members[instance], true
+}
+
+// ended counts the end of an attempt.
+func (f *fleet) ended(now timer.Millis, instance identifier.InstanceID, latency time.Duration, result selector.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.policy.Step(now, selector.AttemptEnded{Instance: instance, Latency: latency, Result: result})
+	if result == selector.Complete {
+		f.answers.Observe(now, latency)
+	}
+}
+
+// eject keeps an instance that cannot be reached away for a while.
+func (f *fleet) eject(now timer.Millis, instance identifier.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.policy.Step(now, selector.InstanceEjected{Instance: instance})
+}
+
+// report takes the load of an instance.
+func (f *fleet) report(now timer.Millis, instance identifier.InstanceID, load registrar.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.policy.Step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
+		InFlight: load.Running, Queued: load.Queued, Limit: load.Limit, Cold: load.Cold,
+		SlowdownPercent: load.SlowdownPercent, ReceivedAt: now,
+	}})
+}
+
+// replace sets the instances that may be picked.
+func (f *fleet) replace(now timer.Millis, version uint64, members []registrar.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version, f.fullAt = version, now
+	old := f.members
+	f.members = make(map[identifier.InstanceID]registrar.Member, len(members))
+	instances := make([]selector.Instance, 0, len(members))
+	var usable []identifier.InstanceID
+	for _, m := range members {
+		f.members[m.Node] = m
+		instances = append(instances, selector.Instance{ID: m.Node, Domain: m.FailureDomain, Slots: m.Slots})
+		if known, found := old[m.Node]; !found || known.Incarnation != m.Incarnation {
+			usable = append(usable, m.Node)
+		}
+	}
+	f.policy.Step(now, selector.InstancesChanged{Instances: instances})
+	for _, node := range usable {
+		f.policy.Step(now, selector.InstanceUsable{Instance: node})
+	}
+}
+
+// due reports whether the members may have changed.
+func (f *fleet) due(now timer.Millis, version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return version != f.version || now-f.fullAt >= fullRefresh
+}
+
+// taker makes the budget of a fleet safe for concurrent use.
+type taker struct{ fleet *fleet }
+
+// Take takes one repeat.
+func (t taker) Take(now timer.Millis) bool {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	return t.fleet.window.Take(now)
+}
--- /dev/null
+++ b/internal/transport/dispatcher/forward.go
@@ -0,0 +1,145 @@
+package dispatcher
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// forward runs a started attempt on the backend server.
+func (a *Admission) forward(r *Run, d decision) (encoder.Refusal, bool) {
+	started := a.config.Clock.Now()
+	result := a.send(r, d)
+	latency := a.config.Clock.Now() - started
+	end := a.judge(r, result)
+	if end.result == admitter.Crashed && !a.died() {
+		end.result = admitter.Failed
+	}
+	a.finish(r, end.result, latency)
+	return end.refusal, end.answered
+}
+
+// send sends an attempt. A request that may be repeated is sent once more if the
+// backend server had forgotten the kept connection.
+func (a *Admission) send(r *Run, d decision) exchanger.Result {
+	id := bytes.Clone(a.config.Dialect.RequestID(&r.Request.Header))
+	deadline := time.Now().Add(d.remaining.Duration())
+	reuse := unrepeatableReuse
+	if r.Attempt.Urgency.Idempotent {
+		reuse = backendIdleTimeout
+	}
+	for {
+		left := timer.FromDuration(time.Until(deadline))
+		if left <= 0 {
+			return exchanger.NotSent
+		}
+		a.config.Dialect.Address(&r.Request.Header, a.Backend().ID, left)
+		call := &exchanger.Call{
+			Request: r.Request, Response: r.Response, Deadline: deadline, ReuseWithin: reuse,
+			Belongs: func(header *fasthttp.ResponseHeader) bool { return a.config.Dialect.Belongs(header, id) },
+		}
+		if !r.attach(call) {
+			return exchanger.NotSent
+		}
+		result := a.pool.Do(call)
+		if result != exchanger.Broken || !call.Reused || !r.Attempt.Urgency.Idempotent || r.isCanceled() {
+			return result
+		}
+		reuse = -1 // A fresh connection.
+		r.Response.Reset()
+	}
+}
+
+// runEnd is how a started attempt ended.
+type runEnd struct {
+	result   admitter.Result
+	answered bool
+	refusal  encoder.Refusal
+}
+
+func notRun(result admitter.Result, reason encoder.Reason) runEnd {
+	return runEnd{result: result, refusal: encoder.Refusal{Outcome: encoder.NotRun, Reason: reason}}
+}
+
+func unknown(result admitter.Result, reason encoder.Reason) runEnd {
+	return runEnd{result: result, refusal: encoder.Refusal{Outcome: encoder.Unknown, Reason: reason}}
+}
+
+func (a *Admission) judge(r *Run, result exchanger.Result) runEnd {
+	switch result {
+	case exchanger.Answered:
+		return a.judgeAnswer(r)
+	case exchanger.NotSent:
+		return notRun(admitter.TimedOut, encoder.ReasonConnection)
+	case exchanger.Refused:
+		a.setDown("connection refused")
+		return notRun(admitter.ConnectionRefused, encoder.ReasonUnavailable)
+	case exchanger.TimedOut, exchanger.Aborted:
+		return unknown(admitter.TimedOut, encoder.ReasonDeadline)
+	case exchanger.Broken:
+		return unknown(admitter.Crashed, encoder.ReasonConnection)
+	case exchanger.Incomplete:
+	}
+	return unknown(admitter.Failed, encoder.ReasonIncomplete)
+}
+
+func (a *Admission) judgeAnswer(r *Run) runEnd {
+	a.observe(&r.Response.Header)
+	switch a.config.Dialect.Judge(r.Response) {
+	case Declined:
+		return notRun(admitter.Shed, encoder.ReasonShed)
+	case Misdirected:
+		a.setDown("another backend server answered")
+		return notRun(admitter.Shed, encoder.ReasonUnavailable)
+	case Spoiled:
+		return unknown(admitter.Failed, encoder.ReasonIncomplete)
+	case Genuine:
+	}
+	end := runEnd{result: admitter.OK, answered: true}
+	if r.Response.StatusCode() >= fasthttp.StatusInternalServerError {
+		end.result = admitter.Failed
+	}
+	return end
+}
+
+// observe takes the load that came with an answer.
+func (a *Admission) observe(header *fasthttp.ResponseHeader) {
+	load, found := a.config.Dialect.Load(header)
+	if !found {
+		return
+	}
+	a.mu.Lock()
+	a.load, a.loadAt = load, a.config.Clock.Now()
+	a.mu.Unlock()
+}
+
+// setDown refuses attempts until the backend server is heard of again.
+func (a *Admission) setDown(reason string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return
+	}
+	a.down = true
+	a.warmth.forget()
+	a.config.Logger.Warn("backend server cannot be used", "backend", a.backend.ID, "reason", reason)
+	a.config.Changed()
+}
+
+func (a *Admission) finish(r *Run, result admitter.Result, latency timer.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Clock.Now()
+	a.quarantine(now, quarantiner.Complete{
+		Fingerprint: r.fingerprint, Good: result == admitter.OK || result == admitter.Failed,
+	})
+	a.step(now, admitter.Complete{Attempt: r.Attempt.ID, Result: result, Latency: latency})
+	a.config.Changed()
+}
--- /dev/null
+++ b/internal/transport/dispatcher/ingress.go
@@ -0,0 +1,191 @@
+package dispatcher
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// fullRefresh bounds the age of a fleet's members when none has changed, so
+	// that silent ones leave it.
+	fullRefresh = 500 * timer.Millis(1)
+	// unconfiguredRetry is about the time to read the first configuration.
+	unconfiguredRetry = 100 * timer.Millis(1)
+	// freeRefusals bounds the instances that are asked for a free slot.
+	freeRefusals = 4
+)
+
+// RetryBudget bounds the repeats of a service over all daemons.
+type RetryBudget struct {
+	// Ratio is the part of the requests that may be repeated.
+	Ratio float64
+	// Extra is the number of repeats beside, in any span.
+	Extra float64
+	Span  timer.Millis
+}
+
+// IngressConfig holds what ingress needs.
+type IngressConfig struct {
+	Self identifier.InstanceID
+	// Caller is the service on this VM, where requests originate.
+	Caller        identifier.ServiceName
+	Incarnation   identifier.Incarnation
+	FailureDomain identifier.FailureDomain
+	Clock         timer.Clock
+	Configuration *router.Holder
+	Members       Members
+	Peers         *Peers
+	Admission     *Admission
+	Dialect       Dialect
+	Retries       RetryBudget
+	Logger        *slog.Logger
+}
+
+// Ingress serves callers. It is safe for concurrent use.
+type Ingress struct {
+	config   IngressConfig
+	splitter *router.Splitter
+	sequence atomic.Uint64
+	inFlight atomic.Int64
+
+	mu     sync.RWMutex
+	fleets map[identifier.ServiceName]*fleet
+}
+
+// NewIngress returns an ingress without fleets; they are made at first use.
+func NewIngress(config IngressConfig) *Ingress {
+	return &Ingress{
+		config:   config,
+		splitter: router.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		fleets:   map[identifier.ServiceName]*fleet{},
+	}
+}
+
+// InFlight returns the number of callers' requests in flight.
+func (i *Ingress) InFlight() int64 { return i.inFlight.Load() }
+
+// Handle answers one request of a caller.
+func (i *Ingress) Handle(x *exchanger.Exchange) {
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
+	refusal, answered := i.serve(x)
+	if !answered {
+		i.refuse(x, refusal)
+	}
+}
+
+func (i *Ingress) refuse(x *exchanger.Exchange, refusal encoder.Refusal) {
+	i.config.Dialect.Refuse(&x.Response, &x.Request.Header, refusal)
+	i.config.Logger.Debug("request not served", "request", string(i.config.Dialect.RequestID(&x.Request.Header)),
+		"outcome", string(refusal.Outcome), "reason", string(refusal.Reason), "retry_after_ms", refusal.RetryAfterMs,
+		"elapsed_ms", i.config.Clock.Now()-x.ReceivedAt)
+}
+
+// serve reports false, and why, if the response holds no answer.
+func (i *Ingress) serve(x *exchanger.Exchange) (encoder.Refusal, bool) {
+	snapshot := i.config.Configuration.Snapshot()
+	if snapshot.Version == 0 {
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNotConfigured, RetryAfterMs: unconfiguredRetry}, false
+	}
+	header := &x.Request.Header
+	route, found := snapshot.Lookup(string(header.Host()), pathOf(header.RequestURI()))
+	if !found {
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}, false
+	}
+	deadline := x.ReceivedAt + route.Timeout
+	if left, given := i.config.Dialect.TimeLeft(header); given {
+		deadline = min(deadline, x.ReceivedAt+left)
+	}
+	if !route.Idempotent && !x.AwaitTurn() {
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDeadline}, false
+	}
+	service := i.splitter.Pick(route)
+	i.config.Dialect.Accept(header, i.config.Caller)
+	now := i.config.Clock.Now()
+	fleet := i.fleet(now, service)
+	fleet.begin(now, i.window())
+	return i.exchange(x, &request{route: route, service: service, fleet: fleet, version: snapshot.Version, deadline: deadline}).run()
+}
+
+// pathOf returns the path of a request target without its query.
+func pathOf(target []byte) string {
+	for at, c := range target {
+		if c == '?' {
+			return string(target[:at])
+		}
+	}
+	return string(target)
+}
+
+// window is this daemon's part of the retry budget.
+func (i *Ingress) window() retrier.WindowConfig {
+	return retrier.WindowConfig{
+		Span: i.config.Retries.Span, Ratio: i.config.Retries.Ratio * ratioUsed,
+		Extra: i.config.Retries.Extra * extraUsed / float64(max(1, i.config.Members.Speaking())),
+	}
+}
+
+// Parts of the retry budget that are used. The rest is for the calls that a
+// repeated run makes again, which no daemon can tell from others, and for members
+// that were not heard when the extra was shared.
+const (
+	ratioUsed = 0.6
+	extraUsed = 0.5
+)
+
+func (i *Ingress) fleet(now timer.Millis, service identifier.ServiceName) *fleet {
+	i.mu.RLock()
+	f, found := i.fleets[service]
+	i.mu.RUnlock()
+	if !found {
+		i.mu.Lock()
+		if f, found = i.fleets[service]; !found {
+			f = newFleet(i.config.FailureDomain, i.window(), now)
+			i.fleets[service] = f
+		}
+		i.mu.Unlock()
+	}
+	if version := i.config.Members.Version() + uint64(i.config.Configuration.Snapshot().Offset)<<32; f.due(now, version) {
+		f.replace(now, version, i.candidates(service))
+	}
+	return f
+}
+
+// candidates returns the instances that may get attempts.
+func (i *Ingress) candidates(service identifier.ServiceName) []registrar.Member {
+	snapshot := i.config.Configuration.Snapshot()
+	members := i.config.Members.Instances(service)
+	kept := members[:0]
+	for _, m := range members {
+		if !snapshot.IsOut(m.FailureDomain) {
+			kept = append(kept, m)
+		}
+	}
+	if own, accepting := i.config.Admission.Member(); accepting && own.Service == service && !snapshot.IsOut(own.FailureDomain) {
+		kept = append(kept, own)
+	}
+	return kept
+}
+
+// Report takes the load of an instance.
+func (i *Ingress) Report(m registrar.Member) {
+	i.mu.RLock()
+	f, found := i.fleets[m.Service]
+	i.mu.RUnlock()
+	if found {
+		f.report(i.config.Clock.Now(), m.Node, m.Load)
+	}
+}
+
+// Keep drops what is kept for routes that a new configuration lacks.
+func (i *Ingress) Keep(snapshot *router.Snapshot) { i.splitter.Keep(snapshot.Routes) }
--- /dev/null
+++ b/internal/transport/dispatcher/peers.go
@@ -0,0 +1,67 @@
+package dispatcher
+
+import (
+	"sync"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Limits of the connections to other daemons.
+const (
+	// peerConnectTimeout is far above a round trip and below the retransmission
+	// of a lost opening packet, so that an attempt goes elsewhere instead.
+	peerConnectTimeout = 300 * timer.Millis(1)
+	// peerUserTimeout leaves room for two retransmissions of a lost packet.
+	peerUserTimeout = 800 * timer.Millis(1)
+	peerMaxIdle     = 64
+	// peerIdleTimeout bounds how many requests meet a connection that went
+	// silent while idle.
+	peerIdleTimeout = 4 * timer.Second
+)
+
+// Peers keeps the connections to other daemons. It is safe for concurrent use.
+type Peers struct {
+	mu    sync.Mutex
+	pools map[identifier.Address]*exchanger.Pool
+}
+
+// NewPeers returns peers without connections.
+func NewPeers() *Peers { return &Peers{pools: map[identifier.Address]*exchanger.Pool{}} }
+
+// Pool returns the connections to a daemon.
+func (p *Peers) Pool(address identifier.Address) *exchanger.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, found := p.pools[address]
+	if !found {
+		pool = exchanger.NewPool(exchanger.PoolConfig{
+			Address: address, ConnectTimeout: peerConnectTimeout, UserTimeout: peerUserTimeout,
+			MaxIdle: peerMaxIdle, IdleTimeout: peerIdleTimeout,
+		})
+		p.pools[address] = pool
+	}
+	return pool
+}
+
+// Keep drops the connections to daemons that are no longer members.
+func (p *Peers) Keep(member func(identifier.Address) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, pool := range p.pools {
+		if !member(address) {
+			pool.CloseIdle()
+			delete(p.pools, address)
+		}
+	}
+}
+
+// CloseIdle closes all idle connections.
+func (p *Peers) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		pool.CloseIdle()
+	}
+}
--- /dev/null
+++ b/internal/transport/dispatcher/run.go
@@ -0,0 +1,68 @@
+package dispatcher
+
+import (
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Run is one attempt at admission. It owns its request and response until
+// Execute returns.
+type Run struct {
+	Attempt  encoder.Attempt
+	Request  *fasthttp.Request
+	Response *fasthttp.Response
+
+	fingerprint identifier.Fingerprint
+	decided     chan decision
+
+	mu       sync.Mutex
+	call     *exchanger.Call
+	canceled bool
+}
+
+// NewRun returns an attempt that was not executed yet.
+func NewRun(attempt encoder.Attempt, request *fasthttp.Request, response *fasthttp.Response) *Run {
+	return &Run{Attempt: attempt, Request: request, Response: response, decided: make(chan decision, 1)}
+}
+
+// decision is admission's answer to an attempt.
+type decision struct {
+	start     bool
+	solo      bool
+	remaining timer.Millis
+	refusal   encoder.Refusal
+}
+
+// attach ties the call to the backend server to the run and reports whether it
+// may go on.
+func (r *Run) attach(call *exchanger.Call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.canceled {
+		return false
+	}
+	r.call = call
+	return true
+}
+
+// cancel ends the call to the backend server and keeps others from starting.
+func (r *Run) cancel() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.canceled = true
+	if r.call != nil {
+		r.call.Abort()
+	}
+}
+
+func (r *Run) isCanceled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.canceled
+}
--- /dev/null
+++ b/internal/transport/exchanger/pool.go
@@ -0,0 +1,168 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// Keep-alive probes find a VM that died while an answer was awaited.
+const (
+	probeAfter    = timer.Second
+	probeInterval = timer.Second
+	probeCount    = 2
+)
+
+// PoolConfig says how to reach a destination.
+type PoolConfig struct {
+	Address        identifier.Address
+	ConnectTimeout timer.Millis
+	// UserTimeout bounds how long written bytes may stay unacknowledged.
+	UserTimeout timer.Millis
+	// MaxIdle is how many idle connections are kept.
+	MaxIdle int
+	// IdleTimeout is how long they are kept.
+	IdleTimeout timer.Millis
+}
+
+// Pool keeps connections to one destination. It never repeats a request. It is
+// safe for concurrent use.
+type Pool struct {
+	config PoolConfig
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	idle   []*connection // The one used last comes last.
+	dialed uint64
+	epoch  uint64 // Grows with CloseIdle.
+}
+
+// NewPool returns a pool without connections.
+func NewPool(config PoolConfig) *Pool {
+	p := &Pool{config: config}
+	p.dialer = net.Dialer{
+		Timeout: config.ConnectTimeout.Duration(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeAfter.Duration(), Interval: probeInterval.Duration(), Count: probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			if config.UserTimeout <= 0 {
+				return nil
+			}
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(config.UserTimeout))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+	return p
+}
+
+// Do sends a request and reads the whole answer.
+func (p *Pool) Do(call *Call) Result {
+	conn, epoch := p.take(call.ReuseWithin)
+	call.Reused = conn != nil
+	if conn == nil {
+		var result Result
+		if conn, result = p.dial(call.Deadline); conn == nil {
+			return result
+		}
+	}
+	if !call.attach(conn) {
+		p.release(conn, epoch)
+		return NotSent
+	}
+	result := conn.do(call)
+	if call.detach() {
+		_ = conn.Close() // Abort may have closed it already.
+		if result != Answered && result != NotSent {
+			return Aborted
+		}
+		return result
+	}
+	if result == TimedOut {
+		p.CloseIdle() // Others may have gone silent with it.
+	}
+	p.release(conn, epoch)
+	return result
+}
+
+// Dialed returns the number of connections opened.
+func (p *Pool) Dialed() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// CloseIdle closes the idle connections, and those in use after their request.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.epoch++
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // Nothing is in flight on it.
+	}
+}
+
+// take returns the idle connection used last if it was used within a span.
+func (p *Pool) take(within timer.Millis) (*connection, uint64) {
+	for {
+		p.mu.Lock()
+		epoch := p.epoch
+		if len(p.idle) == 0 {
+			p.mu.Unlock()
+			return nil, epoch
+		}
+		conn := p.idle[len(p.idle)-1]
+		if within < p.config.IdleTimeout && time.Since(conn.usedAt) > within.Duration() {
+			p.mu.Unlock()
+			return nil, epoch // Older ones are left to requests that may be repeated.
+		}
+		p.idle = p.idle[:len(p.idle)-1]
+		p.mu.Unlock()
+		if !conn.stale(p.config.IdleTimeout) {
+			return conn, epoch
+		}
+		_ = conn.Close() // Nothing is in flight on it.
+	}
+}
+
+func (p *Pool) dial(deadline time.Time) (*connection, Result) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp", string(p.config.Address))
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, Refused
+		}
+		return nil, NotSent
+	}
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	return newConnection(conn), Answered
+}
+
+func (p *Pool) release(conn *connection, epoch uint64) {
+	p.mu.Lock()
+	keep := !conn.spent && epoch == p.epoch && len(p.idle) < p.config.MaxIdle
+	if keep {
+		p.idle = append(p.idle, conn)
+	}
+	p.mu.Unlock()
+	if !keep {
+		_ = conn.Close() // Nothing is in flight on it.
+	}
+}
--- /dev/null
+++ b/internal/transport/exchanger/serverconn.go
@@ -0,0 +1,342 @@
+package exchanger
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// maxPipelined bounds the requests of a connection that are read ahead of
+	// their answers. Further bytes stay in the socket.
+	maxPipelined = 16
+	// writeTimeout ends a connection whose caller does not read its answer.
+	writeTimeout = 5 * timer.Second
+	// lingerTimeout bounds the wait for the caller's end after the last answer.
+	// Closing with unread bytes resets a connection and may cost the answer.
+	lingerTimeout = timer.Second
+	writeBuffer   = 4 << 10
+)
+
+var (
+	closedTurn   = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+	continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+	writers      = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
+)
+
+// serverConn is a caller's connection. One goroutine reads it; answers are
+// written in the order of the requests by whoever completes the first of them.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	limits Limits
+
+	mu      sync.Mutex
+	pending []*Exchange
+	writing bool
+	reading bool // A request has begun to arrive.
+	closed  bool // No further request is taken.
+	space   *sync.Cond
+}
+
+func newServerConn(server *Server, conn net.Conn) *serverConn {
+	limits := server.config.Limits()
+	c := &serverConn{server: server, conn: conn, limits: limits, reader: bufio.NewReaderSize(conn, limits.HeaderBytes)}
+	c.space = sync.NewCond(&c.mu)
+	return c
+}
+
+// run reads requests until the connection ends.
+func (c *serverConn) run() {
+	defer c.end()
+	for c.awaitRequest() {
+		x := &Exchange{conn: c, turn: closedTurn}
+		if problem, ok := c.read(x); !ok {
+			if problem != nil {
+				c.reject(x, *problem)
+			}
+			return
+		}
+		x.ReceivedAt = c.server.config.Clock.Now()
+		last := x.Request.Header.ConnectionClose() || !x.Request.Header.IsHTTP11()
+		x.Close = last
+		if !c.push(x) {
+			return
+		}
+		go c.handle(x)
+		if last {
+			break
+		}
+	}
+	c.drain()
+}
+
+// awaitRequest waits for the first byte of a request. A connection with a request
+// in flight is not idle.
+func (c *serverConn) awaitRequest() bool {
+	for {
+		c.setReadTimeout(c.limits.IdleTimeout)
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return c.begin()
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.idle() {
+			return false
+		}
+	}
+}
+
+// begin notes that a request arrives, so that the connection is not closed as idle.
+func (c *serverConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	return !c.closed
+}
+
+func (c *serverConn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) == 0 || c.closed
+}
+
+// read reads a whole request. The problem is nil if the connection has ended.
+func (c *serverConn) read(x *Exchange) (*Problem, bool) {
+	c.setReadTimeout(c.limits.HeaderTimeout)
+	header := &x.Request.Header
+	header.SetNoDefaultContentType(true)
+	if err := header.Read(c.reader); err != nil {
+		return headerProblem(err), false
+	}
+	if ambiguous(header) {
+		return problem(Malformed), false
+	}
+	if header.ContentLength() > c.limits.BodyBytes {
+		return problem(BodyTooLarge), false
+	}
+	if x.Request.MayContinue() {
+		if !c.sendContinue() {
+			return nil, false
+		}
+		header.Del(fasthttp.HeaderExpect)
+	}
+	if err := x.Request.ContinueReadBody(c.reader, c.limits.BodyBytes, false); err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			return problem(BodyTooLarge), false
+		}
+		var broken fasthttp.ErrBrokenChunk
+		if errors.As(err, &broken) {
+			return problem(Malformed), false
+		}
+		return nil, false
+	}
+	return nil, true
+}
+
+func problem(p Problem) *Problem { return &p }
+
+// headerProblem tells a request that is wrong from a connection that has ended.
+func headerProblem(err error) *Problem {
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		return problem(HeaderTooLarge)
+	}
+	var network net.Error
+	if errors.As(err, &network) || isEnd(err) {
+		return nil
+	}
+	return problem(Malformed)
+}
+
+// ambiguous reports a request whose end two readers could see at different
+// places (RFC 9112, section 6.1).
+func ambiguous(header *fasthttp.RequestHeader) bool {
+	return header.ContentLength() == -1 && hasRawContentLength(header.RawHeaders())
+}
+
+// sendContinue writes the interim answer unless earlier answers are due.
+func (c *serverConn) sendContinue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) > 0 {
+		return true
+	}
+	c.setWriteTimeout()
+	_, err := c.conn.Write(continueLine)
+	return err == nil
+}
+
+func (c *serverConn) push(x *Exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.pending) >= maxPipelined && !c.closed {
+		c.space.Wait()
+	}
+	if c.closed {
+		return false
+	}
+	if len(c.pending) > 0 {
+		x.turn = make(chan struct{})
+	}
+	c.pending = append(c.pending, x)
+	c.reading = false
+	return true
+}
+
+func (c *serverConn) handle(x *Exchange) {
+	c.server.config.Handler.Handle(x)
+	c.finish(x)
+}
+
+func (c *serverConn) reject(x *Exchange, problem Problem) {
+	c.server.config.Reject(&x.Response, problem)
+	x.Close = true
+	if c.push(x) {
+		c.finish(x)
+		c.drain()
+	}
+}
+
+// finish writes every answer that is due, in order.
+func (c *serverConn) finish(x *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.done = true
+	if c.writing {
+		return
+	}
+	c.writing = true
+	for len(c.pending) > 0 && c.pending[0].done && !c.closed {
+		head := c.pending[0]
+		c.mu.Unlock()
+		last := !c.write(head)
+		c.mu.Lock()
+		c.pending = c.pending[1:]
+		if last {
+			c.closed = true
+		}
+		if len(c.pending) > 0 && !c.closed {
+			close(c.pending[0].turn)
+		}
+		c.space.Signal()
+	}
+	c.writing = false
+	if c.closed {
+		c.abandon()
+	}
+}
+
+// write sends an answer and reports whether the connection may go on.
+func (c *serverConn) write(x *Exchange) bool {
+	closing := x.Close || c.server.closing.Load()
+	if closing {
+		x.Response.SetConnectionClose()
+	}
+	x.Response.Header.SetNoDefaultContentType(true)
+	c.setWriteTimeout()
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(c.conn)
+	err := x.Response.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	w.Reset(nil)
+	if err != nil {
+		_ = c.conn.Close() // The reader ends with it.
+		return false
+	}
+	if !closing {
+		return true
+	}
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // The caller sees the end; a failed connection ends anyway.
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration()))
+	return false
+}
+
+// abandon tells the requests behind the last answer that nobody waits for them.
+// The caller holds the lock.
+func (c *serverConn) abandon() {
+	for _, x := range c.pending {
+		go x.hangUp()
+		select {
+		case <-x.turn:
+		default:
+			close(x.turn)
+		}
+	}
+	c.pending = nil
+	c.space.Broadcast()
+}
+
+// drain discards what comes after the last request, until the caller's end.
+func (c *serverConn) drain() {
+	for {
+		c.mu.Lock()
+		closed := c.closed
+		c.mu.Unlock()
+		if !closed {
+			c.setReadTimeout(c.limits.IdleTimeout)
+		}
+		_, err := c.reader.Discard(1)
+		if err != nil && (closed || !errors.Is(err, os.ErrDeadlineExceeded) || c.idle()) {
+			return
+		}
+	}
+}
+
+// end closes the connection and tells the requests in flight.
+func (c *serverConn) end() {
+	c.mu.Lock()
+	c.closed = true
+	pending := c.pending
+	if !c.writing {
+		c.pending = nil
+	}
+	c.space.Broadcast()
+	c.mu.Unlock()
+	_ = c.conn.Close() // Nothing is read or written after this.
+	for _, x := range pending {
+		x.hangUp()
+		c.mu.Lock()
+		select {
+		case <-x.turn:
+		default:
+			close(x.turn)
+		}
+		c.mu.Unlock()
+	}
+	c.server.remove(c)
+}
+
+// closeIdle ends the connection if no request waits for its answer.
+func (c *serverConn) closeIdle() bool {
+	c.mu.Lock()
+	idle := len(c.pending) == 0 && !c.reading
+	if idle {
+		c.closed = true
+	}
+	c.mu.Unlock()
+	if idle {
+		_ = c.conn.Close() // The reader ends with it.
+	}
+	return idle
+}
+
+func (c *serverConn) setReadTimeout(timeout timer.Millis) {
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout.Duration())) // Fails only on a closed connection.
+}
+
+func (c *serverConn) setWriteTimeout() {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())) // Fails only on a closed connection.
+}
--- a/pkg/decoder/decoder.go
+++ b/pkg/decoder/decoder.go
@@ -202,6 +202,8 @@
 			return
 		}
 		target.SetBool(string(d.skip()) == "true")
+	case reflect.Float64:
+		d.fraction(target)
 	default:
 		d.number(target)
 	}
@@ -289,6 +291,19 @@
 	target.SetInt(parsed)
 }
 
+func (d *decoder) fraction(target reflect.Value) {
+	if first := d.peek(); first != '-' && (first < '0' || first > '9') {
+		d.mismatch("a number")
+		return
+	}
+	text := string(d.skip())
+	parsed, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		d.findings.Add(d.place(), Clip(text), "is out of range")
+	}
+	target.SetFloat(parsed)
+}
+
 // expect reports whether a value starts as wanted, and skips it if not.
 func (d *decoder) expect(first byte, want string) bool {
 	if d.peek() == first {
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -18,6 +18,8 @@
 	FailureDomain string
 	// Region names a set of failure domains.
 	Region string
+	// BackendID names one run of a backend server, if it names itself.
+	BackendID string
 	// InstanceClass names a kind of backend server with the same capacity.
 	InstanceClass string
 	// OperatorName names a person or program that publishes configuration.
