--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -1,10 +1,12 @@
 // Package gossiper tells the other daemons about this one and learns about them.
 //
-// Each daemon sends a report by UDP: to every member when something changed and
+// Each daemon sends datagrams by UDP: to every member when something changed and
 // at a fixed interval, or, in a large fleet, to the members that use its backend
-// server and a random few. A report carries the daemon's load, the version of its
-// configuration and new quarantine entries. A lost report is made good by the
-// next one. A daemon that sees a newer configuration elsewhere fetches it.
+// server and a random few. A pulse carries the load and the version of the
+// configuration in a few bytes; a report carries all, and follows a change of more
+// than the load. A receiver that does not know the sender of a pulse, or sees that
+// it missed a report, asks for one. A daemon that sees a newer configuration
+// elsewhere fetches it.
 //
 // # Usage
 //
@@ -49,25 +51,17 @@
 	usedWithin = 2 * timer.Second
 	// repeats is how often a quarantine entry is sent, against lost reports.
 	repeats = 3
+	// notableLoad is the part of the limit by which the running requests have to
+	// differ before other daemons are told; answers tell their senders anyway.
+	notableLoad = 4
+	// notableSlowdown is the part by which a slowdown has to differ.
+	notableSlowdown = 4
 	// maxReport bounds a report; larger datagrams would be fragmented.
 	maxReport = 1400
 	// maxEntries keeps a report below maxReport.
 	maxEntries = 5
 )
 
-// Position is how far a daemon's configuration is.
-type Position struct {
-	Version identifier.Version `json:"version"`
-	Offset  identifier.Offset  `json:"offset"`
-}
-
-// Report is what a daemon tells others.
-type Report struct {
-	Member   registrar.Member    `json:"member"`
-	Position Position            `json:"position"`
-	Entries  []quarantiner.Entry `json:"entries,omitempty"`
-}
-
 // Config holds what a Gossiper needs.
 type Config struct {
 	Address identifier.Address
@@ -95,6 +89,8 @@
 	table   *registrar.Registrar
 	users   map[identifier.Incarnation]timer.Millis
 	entries []pendingEntry
+	// told is what the last datagram to all said.
+	told registrar.Member
 }
 
 type pendingEntry struct {
@@ -153,11 +149,16 @@
 func (g *Gossiper) Learn(members []registrar.Member) {
 	g.mu.Lock()
 	now := g.config.Clock.Now()
+	var learned []registrar.Member
 	for _, m := range members {
-		g.table.Learn(now, m)
+		if g.table.Learn(now, m) {
+			learned = append(learned, m)
+		}
 	}
 	g.mu.Unlock()
-	g.Poke()
+	for _, m := range learned {
+		g.answer(m)
+	}
 }
 
 // Spread adds quarantine entries to the next reports.
@@ -217,24 +218,60 @@
 	}
 }
 
-// broadcast sends a report. A full one reaches members beyond the users.
-func (g *Gossiper) broadcast(full bool) {
-	report := g.report()
-	g.config.Loaded(report.Member)
-	data, err := json.Marshal(report)
-	if err != nil || len(data) > maxReport {
-		g.config.Logger.Error("report not sent", "bytes", len(data), "error", err)
+// broadcast tells others what has changed. At the fixed interval it sends a pulse
+// in any case.
+func (g *Gossiper) broadcast(due bool) {
+	own := g.config.Self()
+	g.config.Loaded(own)
+	g.mu.Lock()
+	changed := g.changed(own) || len(g.entries) > 0
+	notable := notable(g.told.Load, own.Load)
+	if changed || notable || due {
+		g.told = own
+	}
+	g.mu.Unlock()
+	var data []byte
+	switch {
+	case changed:
+		var ok bool
+		if data, ok = g.report(own); !ok {
+			return
+		}
+	case notable || due:
+		data = pulse{
+			Pulse: registrar.Pulse{
+				Incarnation: own.Incarnation, Revision: own.Revision, Accepting: own.Accepting, Load: own.Load,
+			},
+			Position: g.config.Position(),
+		}.encode()
+	default:
 		return
 	}
-	for _, address := range g.targets(full) {
+	for _, address := range g.targets(due || changed) {
 		g.send(address, data)
 	}
 }
 
-func (g *Gossiper) report() Report {
-	report := Report{Member: g.config.Self(), Position: g.config.Position()}
+// changed reports whether more than the load differs from what was told.
+func (g *Gossiper) changed(own registrar.Member) bool {
+	told := g.told
+	told.Revision, told.Load = own.Revision, own.Load
+	return told != own
+}
+
+// notable reports whether a load differs enough to be told at once.
+func notable(told, now registrar.Load) bool {
+	running := now.Running + now.Queued - told.Running - told.Queued
+	slowdown := now.SlowdownPercent - told.SlowdownPercent
+	return now.Cold != told.Cold || now.Limit != told.Limit ||
+		max(running, -running) >= max(1, now.Limit/notableLoad) ||
+		max(slowdown, -slowdown)*notableSlowdown >= max(1, told.SlowdownPercent)
+}
+
+// report encodes a whole report.
+func (g *Gossiper) report(own registrar.Member) ([]byte, bool) {
+	report := Report{Member: own, Position: g.config.Position()}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	kept := g.entries[:0]
 	for i, pending := range g.entries {
 		if i < maxEntries {
@@ -246,7 +283,13 @@
 		}
 	}
 	g.entries = kept
-	return report
+	g.mu.Unlock()
+	data, err := report.encode()
+	if err != nil || len(data) > maxReport {
+		g.config.Logger.Error("report not sent", "bytes", len(data), "error", err)
+		return nil, false
+	}
+	return data, true
 }
 
 // targets returns the addresses that a report goes to.
@@ -286,20 +329,68 @@
 func (g *Gossiper) read() {
 	buffer := make([]byte, maxReport+1)
 	for {
-		n, _, err := g.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return // The socket was closed.
 		}
+		if err := g.receive(buffer[:n], from); err != nil {
+			g.config.Logger.Warn("datagram not readable", "from", from.String(), "bytes", n, "error", err.Error())
+		}
+	}
+}
+
+// receive handles one datagram.
+func (g *Gossiper) receive(data []byte, from netip.AddrPort) error {
+	if len(data) == 0 {
+		return Error.New("it is empty")
+	}
+	switch data[0] {
+	case kindPulse:
+		p, err := decodePulse(data[1:])
+		if err != nil {
+			return err
+		}
+		g.receivePulse(p, from)
+	case kindQuestion:
+		if answer, ok := g.report(g.config.Self()); ok {
+			_, _ = g.conn.WriteToUDPAddrPort(answer, from) // A lost answer is asked for again.
+		}
+	case kindReport:
 		var report Report
-		if err := json.Unmarshal(buffer[:n], &report); err != nil || report.Member.Node == "" {
-			g.config.Logger.Debug("report not readable", "bytes", n)
-			continue
+		if err := json.Unmarshal(data[1:], &report); err != nil {
+			return Error.Wrap(err)
+		}
+		if report.Member.Node == "" {
+			return Error.New("it names no node")
 		}
-		g.receive(report)
+		g.receiveReport(report)
+	default:
+		return Error.New("kind %d is not known", data[0])
+	}
+	return nil
+}
+
+// receivePulse takes the load of a member, or asks for a report.
+func (g *Gossiper) receivePulse(p pulse, from netip.AddrPort) {
+	g.mu.Lock()
+	m, known := g.table.ObservePulse(g.config.Clock.Now(), p.Pulse)
+	g.mu.Unlock()
+	if !known {
+		_, _ = g.conn.WriteToUDPAddrPort([]byte{kindQuestion}, from) // The next pulse asks again.
+		return
+	}
+	g.config.Loaded(m)
+	g.compare(p.Position, m)
+}
+
+// compare looks whether a member has a newer configuration.
+func (g *Gossiper) compare(theirs Position, m registrar.Member) {
+	if own := g.config.Position(); theirs.Offset > own.Offset || theirs.Version > own.Version {
+		g.config.Ahead(m)
 	}
 }
 
-func (g *Gossiper) receive(report Report) {
+func (g *Gossiper) receiveReport(report Report) {
 	m := report.Member
 	g.mu.Lock()
 	change := g.table.Observe(g.config.Clock.Now(), m)
@@ -309,7 +400,7 @@
 		return
 	case registrar.Joined, registrar.Restarted:
 		g.config.Logger.Info("member joined", "member", m.Node, "service", m.Service, "incarnation", m.Incarnation)
-		g.Poke()
+		g.answer(m)
 	case registrar.MemberChanged:
 		g.config.Logger.Info("member changed", "member", m.Node, "accepting", m.Accepting, "slots", m.Slots)
 	case registrar.LoadChanged:
@@ -318,7 +409,12 @@
 	if len(report.Entries) > 0 {
 		g.config.Quarantined(report.Entries)
 	}
-	if own := g.config.Position(); report.Position.Offset > own.Offset || report.Position.Version > own.Version {
-		g.config.Ahead(m)
+	g.compare(report.Position, m)
+}
+
+// answer sends a whole report to a member that may not know this daemon.
+func (g *Gossiper) answer(m registrar.Member) {
+	if data, ok := g.report(g.config.Self()); ok {
+		g.send(m.Report, data)
 	}
 }
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -85,6 +85,14 @@
 	Restarted
 )
 
+// Pulse is the part of a member's report that changes often.
+type Pulse struct {
+	Incarnation identifier.Incarnation
+	Revision    uint64
+	Accepting   bool
+	Load        Load
+}
+
 type entry struct {
 	member  Member
 	heardAt timer.Millis
@@ -136,6 +144,32 @@
 	return LoadChanged
 }
 
+// ObservePulse takes in the pulse of a member. It returns false if no member has
+// the incarnation and accepts attempts as the pulse says, so that a full report
+// is needed; a late pulse changes nothing.
+func (r *Registrar) ObservePulse(now timer.Millis, p Pulse) (Member, bool) {
+	e := r.incarnation(p.Incarnation)
+	if e == nil || !e.heard || e.member.Accepting != p.Accepting {
+		return Member{}, false
+	}
+	if p.Revision > e.member.Revision {
+		if now-e.heardAt > silentAfter {
+			r.version++
+		}
+		e.member.Revision, e.member.Load, e.heardAt = p.Revision, p.Load, now
+	}
+	return e.member, true
+}
+
+func (r *Registrar) incarnation(incarnation identifier.Incarnation) *entry {
+	for _, e := range r.entries {
+		if e.member.Incarnation == incarnation {
+			return e
+		}
+	}
+	return nil
+}
+
 // Learn takes in a member that another source named. It is not picked before its
 // own report.
 func (r *Registrar) Learn(now timer.Millis, m Member) bool {
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -139,8 +139,8 @@
 // repeated run makes again, which no daemon can tell from others, and for members
 // that were not heard when the extra was shared.
 const (
-	ratioUsed = 0.6
-	extraUsed = 0.5
+	ratioUsed = 0.45
+	extraUsed = 0.4
 )
 
 func (i *Ingress) fleet(now timer.Millis, service identifier.ServiceName) *fleet {
