Stop listening and refuse new requests before a planned exit

Now it stops listening and refuses new requests, truthfully as not run, once callers have had the time to notice.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -136,6 +136,9 @@
 	d.admission.Leave()
 	d.callerServer.CloseAfterAnswers()
 	time.Sleep(noticeTime.Duration())
+	// Callers that stay would lose what they send from now on at the exit.
+	d.callerServer.StopAccepting()
+	d.ingress.Drain()
 	d.peerServer.CloseAfterAnswers()
 	for d.clock.Now() < end {
 		busy := d.callerServer.CloseIdle() + d.peerServer.CloseIdle()
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -21,6 +21,8 @@
 	fullRefresh = 500 * timer.Millis(1)
 	// unconfiguredRetry is about the time to read the first configuration.
 	unconfiguredRetry = 100 * timer.Millis(1)
+	// drainRetry is how soon a caller may try another daemon.
+	drainRetry = 50 * timer.Millis(1)
 	// freeRefusals bounds the instances that are asked for a free slot.
 	freeRefusals = 4
 )
@@ -57,6 +59,7 @@
 	splitter *router.Splitter
 	sequence atomic.Uint64
 	inFlight atomic.Int64
+	draining atomic.Bool
 
 	mu     sync.RWMutex
 	fleets map[identifier.ServiceName]*fleet
@@ -74,6 +77,9 @@
 // InFlight returns the number of callers' requests in flight.
 func (i *Ingress) InFlight() int64 { return i.inFlight.Load() }
 
+// Drain refuses new requests from now on; those in flight go on.
+func (i *Ingress) Drain() { i.draining.Store(true) }
+
 // Handle answers one request of a caller.
 func (i *Ingress) Handle(x *exchanger.Exchange) {
 	i.inFlight.Add(1)
@@ -93,6 +99,9 @@
 
 // serve reports false, and why, if the response holds no answer.
 func (i *Ingress) serve(x *exchanger.Exchange) (encoder.Refusal, bool) {
+	if i.draining.Load() {
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDraining, RetryAfterMs: drainRetry}, false
+	}
 	snapshot := i.config.Configuration.Snapshot()
 	if snapshot.Version == 0 {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNotConfigured, RetryAfterMs: unconfiguredRetry}, false
--- a/internal/transport/exchanger/server.go
+++ b/internal/transport/exchanger/server.go
@@ -118,19 +118,26 @@
 	return busy
 }
 
-// Close stops accepting and closes every connection.
-func (s *Server) Close() {
+// StopAccepting refuses new connections; those that are open go on.
+func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	s.stopped = true
 	listeners := s.listeners
+	s.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close() // Accept returns in any case.
+	}
+}
+
+// Close stops accepting and closes every connection.
+func (s *Server) Close() {
+	s.StopAccepting()
+	s.mu.Lock()
 	conns := make([]*serverConn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
 	s.mu.Unlock()
-	for _, l := range listeners {
-		_ = l.Close() // Accept returns in any case.
-	}
 	for _, c := range conns {
 		c.end()
 	}
