--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -70,7 +70,9 @@
 	Addresses     Addresses
 	Retries       dispatcher.RetryBudget
 	// Grace is the time from the request to stop until the process is killed.
-	Grace     timer.Millis
+	Grace timer.Millis
+	// Notice is the time in which callers see that the daemon is not ready.
+	Notice    timer.Millis
 	Dialect   dispatcher.Dialect
 	Source    Source
 	Directory Directory
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -15,9 +15,6 @@
 
 const (
 	tickInterval = 50 * timer.Millis(1)
-	// noticeTime is how long a stopping daemon serves as before. Callers look at
-	// its readiness once a second and leave after two misses.
-	noticeTime = 2200 * timer.Millis(1)
 	// exitReserve is the part of the grace period that is left for the exit.
 	exitReserve = 500 * timer.Millis(1)
 	stopPoll    = 20 * timer.Millis(1)
@@ -55,6 +52,7 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
+		defer s.server.Close()
 		go func() { failed <- s.server.Serve(listener) }()
 	}
 	work, cancel := context.WithCancel(context.Background())
@@ -135,7 +133,7 @@
 	d.stopping.Store(true)
 	d.admission.Leave()
 	d.callerServer.CloseAfterAnswers()
-	time.Sleep(noticeTime.Duration())
+	time.Sleep(d.config.Notice.Duration())
 	// Callers that stay would lose what they send from now on at the exit.
 	d.callerServer.StopAccepting()
 	d.ingress.Drain()
--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -25,6 +25,8 @@
 	// WantLoad asks for the load field in the answer.
 	WantLoad bool
 	Urgency  Urgency
+	// Target names the instance that the attempt is for, if the sender knows it.
+	Target identifier.InstanceID
 }
 
 // Urgency is how an attempt waits for its start. The zero value waits until its
@@ -79,6 +81,9 @@
 	if a.Urgency != (Urgency{}) {
 		header.Set(HeaderUrgency, a.Urgency.String())
 	}
+	if a.Target != "" {
+		header.Set(HeaderTarget, string(a.Target))
+	}
 	if a.Solo {
 		header.Set(HeaderSolo, "1")
 	}
@@ -116,6 +121,7 @@
 	}
 	*a = Attempt{
 		ID: id, Remaining: remaining, Version: identifier.Version(version), Depth: depth, Urgency: urgency,
+		Target:   identifier.InstanceID(header.Peek(HeaderTarget)),
 		Solo:     len(header.Peek(HeaderSolo)) > 0,
 		WantLoad: len(header.Peek(HeaderWant)) > 0,
 	}
--- a/internal/protocol/encoder/header.go
+++ b/internal/protocol/encoder/header.go
@@ -35,7 +35,8 @@
 	HeaderLoad    = "Magnoliaknot-Load"
 	HeaderWant    = "Magnoliaknot-Want-Load"
 	HeaderUrgency = "Magnoliaknot-Urgency"
+	HeaderTarget  = "Magnoliaknot-Target"
 )
 
 // internalHeaders lists what ingress removes from a caller's request.
-var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWant, HeaderUrgency}
+var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWant, HeaderUrgency, HeaderTarget}
--- /dev/null
+++ b/internal/protocol/encoder/urgency_test.go
@@ -0,0 +1,42 @@
+package encoder_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Guards against an urgency that another daemon reads differently.
+func TestUrgencyRoundTrip(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		u := encoder.Urgency{
+			Priority:   rapid.IntRange(0, 1<<20).Draw(t, "priority"),
+			MaxWait:    timer.Millis(rapid.Int64Range(0, int64(timer.Day)).Draw(t, "wait")),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		}
+		parsed, err := encoder.ParseUrgency(u.String())
+		if err != nil || parsed != u {
+			t.Fatalf("%v parsed as %v, %v", u, parsed, err)
+		}
+	})
+}
+
+// Guards against a broken urgency that makes an attempt repeatable.
+func FuzzParseUrgency(f *testing.F) {
+	for _, text := range []string{"0 0", "1 200 i", "-1 2", "1", "1 2 x", "1 2 i i"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		u, err := encoder.ParseUrgency(text)
+		if err != nil && u != (encoder.Urgency{}) {
+			t.Fatalf("%q gives %v beside an error", text, u)
+		}
+		if err == nil && (u.Priority < 0 || u.MaxWait < 0) {
+			t.Fatalf("%q gives %v", text, u)
+		}
+	})
+}
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -120,6 +120,7 @@
 	if m.Node == r.self {
 		return Stale
 	}
+	r.dropPredecessors(m)
 	known, found := r.entries[m.Node]
 	if !found {
 		r.entries[m.Node] = &entry{member: m, heardAt: now, heard: true}
@@ -161,6 +162,26 @@
 	return e.member, true
 }
 
+// dropPredecessors drops the members whose address a later one has taken over.
+func (r *Registrar) dropPredecessors(m Member) {
+	for node, e := range r.entries {
+		if node != m.Node && e.member.Peer == m.Peer && m.Peer != "" && e.member.Incarnation < m.Incarnation {
+			delete(r.entries, node)
+			r.version++
+		}
+	}
+}
+
+// succeeded reports whether a later member has taken over the address of another.
+func (r *Registrar) succeeded(m Member) bool {
+	for node, e := range r.entries {
+		if node != m.Node && e.member.Peer == m.Peer && m.Peer != "" && e.member.Incarnation > m.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Registrar) incarnation(incarnation identifier.Incarnation) *entry {
 	for _, e := range r.entries {
 		if e.member.Incarnation == incarnation {
@@ -174,9 +195,10 @@
 // own report.
 func (r *Registrar) Learn(now timer.Millis, m Member) bool {
 	known, found := r.entries[m.Node]
-	if m.Node == r.self || found && m.Incarnation <= known.member.Incarnation {
+	if m.Node == r.self || found && m.Incarnation <= known.member.Incarnation || r.succeeded(m) {
 		return false
 	}
+	r.dropPredecessors(m)
 	m.Accepting = false
 	r.entries[m.Node] = &entry{member: m, heardAt: now}
 	r.version++
--- /dev/null
+++ b/internal/state/registrar/registrar_test.go
@@ -0,0 +1,106 @@
+package registrar_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func TestRegistrar(t *testing.T) { tester.RunSpecs(t, "registrar") }
+
+func member(node identifier.InstanceID, incarnation identifier.Incarnation, revision uint64) registrar.Member {
+	return registrar.Member{Node: node, Incarnation: incarnation, Revision: revision, Service: "s", Slots: 4, Accepting: true}
+}
+
+var _ = Describe("a table of members", func() {
+	var table *registrar.Registrar
+	BeforeEach(func() { table = registrar.New("self") })
+
+	reports := []struct {
+		name   string
+		m      registrar.Member
+		change registrar.Change
+	}{
+		{"a late report", member("a", 5, 3), registrar.Stale},
+		{"a report of an earlier incarnation", member("a", 4, 9), registrar.Stale},
+		{"a later report", member("a", 5, 8), registrar.LoadChanged},
+		{"a new incarnation", member("a", 6, 1), registrar.Restarted},
+		{"another member", member("b", 1, 1), registrar.Joined},
+		{"its own report", member("self", 9, 9), registrar.Stale},
+	}
+	for _, c := range reports {
+		It("guards against older news that replaces newer: "+c.name, func() {
+			Expect(table.Observe(1, member("a", 5, 7))).To(Equal(registrar.Joined))
+			Expect(table.Observe(2, c.m)).To(Equal(c.change))
+		})
+	}
+
+	It("guards against work for a member that only the store names", func() {
+		Expect(table.Learn(1, member("a", 5, 1))).To(BeTrue())
+		Expect(table.Instances(2, "s")).To(BeEmpty())
+		Expect(table.Members()).To(HaveLen(1))
+		table.Observe(3, member("a", 5, 2))
+		Expect(table.Instances(4, "s")).To(HaveLen(1))
+	})
+
+	It("guards against a stored entry that replaces a later report", func() {
+		table.Observe(1, member("a", 5, 1))
+		Expect(table.Learn(2, member("a", 5, 9))).To(BeFalse())
+		Expect(table.Instances(3, "s")).To(HaveLen(1))
+	})
+
+	It("guards against work for a silent member while others speak, and against none at all", func() {
+		table.Observe(1, member("a", 5, 1))
+		table.Observe(1, member("b", 5, 1))
+		later := 2 * timer.Second
+		table.Observe(later, member("b", 5, 2))
+		Expect(table.Instances(later, "s")).To(HaveLen(1))
+		Expect(table.Instances(later, "s")[0].Node).To(BeEquivalentTo("b"))
+		Expect(table.Instances(2*later, "s")).To(HaveLen(2), "when all are silent they are all that is left")
+		Expect(table.Speaking(2 * later)).To(BeZero())
+	})
+
+	It("guards against a pulse of an unknown incarnation or another state", func() {
+		table.Observe(1, member("a", 5, 1))
+		pulse := registrar.Pulse{Incarnation: 5, Revision: 2, Accepting: true, Load: registrar.Load{Running: 3}}
+		m, known := table.ObservePulse(2, pulse)
+		Expect(known).To(BeTrue())
+		Expect(m.Load.Running).To(BeEquivalentTo(3))
+		pulse.Accepting = false
+		_, known = table.ObservePulse(3, pulse)
+		Expect(known).To(BeFalse())
+		pulse.Accepting, pulse.Incarnation = true, 6
+		_, known = table.ObservePulse(3, pulse)
+		Expect(known).To(BeFalse())
+	})
+
+	It("guards against a late pulse that takes the load back", func() {
+		table.Observe(1, member("a", 5, 7))
+		m, known := table.ObservePulse(2, registrar.Pulse{Incarnation: 5, Revision: 6, Accepting: true, Load: registrar.Load{Running: 9}})
+		Expect(known).To(BeTrue())
+		Expect(m.Load.Running).To(BeZero())
+	})
+
+	It("guards against attempts for a lost member at an address that another one has taken over", func() {
+		lost, next := member("a", 5, 1), member("b", 6, 1)
+		lost.Peer, next.Peer = "10.0.0.1:1", "10.0.0.1:1"
+		table.Observe(1, lost)
+		table.Observe(2, next)
+		Expect(table.Members()).To(HaveLen(1))
+		Expect(table.Members()[0].Node).To(BeEquivalentTo("b"))
+		Expect(table.Learn(3, lost)).To(BeFalse(), "a stored entry must not bring it back")
+	})
+
+	It("guards against members kept for ever", func() {
+		table.Observe(1, member("a", 5, 1))
+		Expect(table.Expire(timer.Minute)).To(BeFalse())
+		Expect(table.Expire(3 * timer.Minute)).To(BeTrue())
+		Expect(table.Members()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/state/router/router_test.go
@@ -0,0 +1,92 @@
+package router_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
+
+func TestRouter(t *testing.T) { tester.RunSpecs(t, "router") }
+
+var _ = Describe("a routing table", func() {
+	table := router.NewTable([]router.Route{
+		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "root", Host: "B.example", PathPrefix: "/"},
+	})
+	cases := []struct{ name, host, path, route string }{
+		{"the longest prefix wins", "a.example", "/x/y/z", "long"},
+		{"a prefix ends at a slash", "a.example", "/x/yz", "short"},
+		{"a prefix needs its last slash", "a.example", "/x", ""},
+		{"a port says nothing", "a.example:80", "/x/1", "short"},
+		{"case of a host says nothing", "b.EXAMPLE", "/q", "root"},
+		{"hosts are kept apart", "c.example", "/x/1", ""},
+		{"paths are not cleaned", "a.example", "/q/../x/1", ""},
+	}
+	for _, c := range cases {
+		It("guards against a request that goes to another route: "+c.name, func() {
+			route, found := table.Lookup(c.host, c.path)
+			Expect(found).To(Equal(c.route != ""))
+			if found {
+				Expect(route.Name).To(Equal(c.route))
+			}
+		})
+	}
+})
+
+var _ = Describe("a holder", func() {
+	cases := []struct {
+		name    string
+		version identifier.Version
+		offset  identifier.Offset
+		adopted bool
+	}{
+		{"a later version", 6, 20, true},
+		{"a later position of the same version", 5, 11, true},
+		{"the same", 5, 10, false},
+		{"an earlier version from a later position", 4, 11, false},
+		{"a later version from an earlier position", 6, 9, false},
+	}
+	for _, c := range cases {
+		It("guards against a configuration that goes back: "+c.name, func() {
+			holder := router.NewHolder()
+			Expect(holder.Adopt((&router.Snapshot{Version: 5, Offset: 10}).Index())).To(BeTrue())
+			Expect(holder.Adopt((&router.Snapshot{Version: c.version, Offset: c.offset}).Index())).To(Equal(c.adopted))
+		})
+	}
+})
+
+// Guards against shares that differ from the weights by a request or more, in any
+// run of requests and for any daemon.
+func TestSplitterShares(t *testing.T) {
+	tester.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 99), 2, 4).Draw(t, "weights")
+		seed := rapid.Uint64().Draw(t, "seed")
+		route := &router.Route{Name: "r"}
+		total := 0
+		for i, w := range weights {
+			route.Parts = append(route.Parts, router.Part{Service: identifier.ServiceName(rune('a' + i)), Weight: w})
+			total += w
+		}
+		splitter := router.NewSplitter(rand.New(rand.NewPCG(seed, seed)))
+		counts := map[identifier.ServiceName]int{}
+		for n := 1; n <= 3*total; n++ {
+			counts[splitter.Pick(route)]++
+			if n%total != 0 {
+				continue
+			}
+			for _, p := range route.Parts {
+				if counts[p.Service] != n/total*p.Weight {
+					t.Fatalf("%s got %d of %d requests for a weight of %d of %d", p.Service, counts[p.Service], n, p.Weight, total)
+				}
+			}
+		}
+	})
+}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -112,6 +112,12 @@
 		return
 	}
 	encoder.RemoveInternal(&x.Request.Header)
+	if attempt.Target != a.config.Member.Node {
+		// Another VM had this address when the sender learned it.
+		a.config.Logger.Warn("attempt for another instance refused", "attempt", attempt.ID.String(), "target", attempt.Target)
+		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonUnavailable, RetryAfterMs: unavailableRetry}.Fill(&x.Response)
+		return
+	}
 	run := NewRun(attempt, &x.Request, &x.Response)
 	x.OnGone(func() { a.Cancel(run) })
 	if refusal, answered := a.Execute(run); !answered {
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -164,7 +164,7 @@
 	a.id = identifier.AttemptID{Origin: i.config.Incarnation, Sequence: i.sequence.Add(1)}
 	remaining := e.request.deadline - now
 	details := encoder.Attempt{
-		ID: a.id, Remaining: remaining, Version: e.request.version,
+		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
 		Urgency: encoder.Urgency{Priority: route.Priority, MaxWait: maxWait(route, remaining), Idempotent: route.Idempotent},
 	}
 	request := &fasthttp.Request{}
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -26,8 +26,8 @@
 	return end.refusal, end.answered
 }
 
-// send sends an attempt. A request that may be repeated is sent once more if the
-// backend server had forgotten the kept connection.
+// send sends an attempt once. A kept connection that broke may have carried the
+// request to its run, so that a repeat is for the sender's budget to decide.
 func (a *Admission) send(r *Run, d decision) exchanger.Result {
 	id := bytes.Clone(a.config.Dialect.RequestID(&r.Request.Header))
 	deadline := time.Now().Add(d.remaining.Duration())
@@ -35,26 +35,15 @@
 	if r.Attempt.Urgency.Idempotent {
 		reuse = backendIdleTimeout
 	}
-	for {
-		left := timer.FromDuration(time.Until(deadline))
-		if left <= 0 {
-			return exchanger.NotSent
-		}
-		a.config.Dialect.Address(&r.Request.Header, a.Backend().ID, left)
-		call := &exchanger.Call{
-			Request: r.Request, Response: r.Response, Deadline: deadline, ReuseWithin: reuse,
-			Belongs: func(header *fasthttp.ResponseHeader) bool { return a.config.Dialect.Belongs(header, id) },
-		}
-		if !r.attach(call) {
-			return exchanger.NotSent
-		}
-		result := a.pool.Do(call)
-		if result != exchanger.Broken || !call.Reused || !r.Attempt.Urgency.Idempotent || r.isCanceled() {
-			return result
-		}
-		reuse = -1 // A fresh connection.
-		r.Response.Reset()
+	a.config.Dialect.Address(&r.Request.Header, a.Backend().ID, d.remaining)
+	call := &exchanger.Call{
+		Request: r.Request, Response: r.Response, Deadline: deadline, ReuseWithin: reuse,
+		Belongs: func(header *fasthttp.ResponseHeader) bool { return a.config.Dialect.Belongs(header, id) },
 	}
+	if !r.attach(call) {
+		return exchanger.NotSent
+	}
+	return a.pool.Do(call)
 }
 
 // runEnd is how a started attempt ended.
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -60,9 +60,3 @@
 		r.call.Abort()
 	}
 }
-
-func (r *Run) isCanceled() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.canceled
-}
--- a/internal/transport/exchanger/call.go
+++ b/internal/transport/exchanger/call.go
@@ -61,6 +61,12 @@
 	}
 }
 
+func (c *Call) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
 // attach ties a connection to the call and reports whether it may go on.
 func (c *Call) attach(conn *connection) bool {
 	c.mu.Lock()
--- a/internal/transport/exchanger/exchanger.go
+++ b/internal/transport/exchanger/exchanger.go
@@ -33,11 +33,11 @@
 		return false
 	}
 	closed := false
-	err := raw.Read(func(fd uintptr) bool {
+	// Control does not wait for a reader of the connection, as Read would.
+	err := raw.Control(func(fd uintptr) {
 		var buf [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		closed = !errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return closed || err != nil
 }
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -70,6 +70,9 @@
 
 // Do sends a request and reads the whole answer.
 func (p *Pool) Do(call *Call) Result {
+	if call.isAborted() {
+		return NotSent
+	}
 	conn, epoch := p.take(call.ReuseWithin)
 	call.Reused = conn != nil
 	if conn == nil {
--- /dev/null
+++ b/internal/transport/exchanger/server_test.go
@@ -0,0 +1,158 @@
+package exchanger_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+)
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+var _ = Describe("a server's connection", func() {
+	echo := func(x *exchanger.Exchange) {
+		x.Response.SetBodyString(string(x.Request.Header.RequestURI()) + "|" + string(x.Request.Body()))
+	}
+
+	It("guards against answers to pipelined requests in the order of their ends", func() {
+		_, address := startServer(func(x *exchanger.Exchange) {
+			if string(x.Request.Header.RequestURI()) == "/slow" {
+				time.Sleep(50 * time.Millisecond)
+			}
+			echo(x)
+		})
+		c := dial(address)
+		c.send(get("/slow") + get("/fast") + get("/last"))
+		for _, want := range []string{"/slow|", "/fast|", "/last|"} {
+			Expect(string(c.answer().Body())).To(Equal(want))
+		}
+	})
+
+	It("guards against a path that is cleaned on its way", func() {
+		_, address := startServer(echo)
+		c := dial(address)
+		c.send(get("/a//b/../c/%2e?x=%41"))
+		Expect(string(c.answer().Body())).To(Equal("/a//b/../c/%2e?x=%41|"))
+	})
+
+	It("guards against a run that goes on after its caller hung up", func() {
+		gone := make(chan struct{})
+		_, address := startServer(func(x *exchanger.Exchange) {
+			x.OnGone(func() { close(gone) })
+			<-gone
+		})
+		c := dial(address)
+		c.send(get("/"))
+		time.Sleep(20 * time.Millisecond)
+		Expect(c.Close()).To(Succeed())
+		Eventually(gone).WithTimeout(patience).Should(BeClosed())
+	})
+
+	It("guards against a request that starts behind an answer that closes the connection", func() {
+		var mu sync.Mutex
+		var started []string
+		release := make(chan struct{})
+		_, address := startServer(func(x *exchanger.Exchange) {
+			path := string(x.Request.Header.RequestURI())
+			if path == "/first" {
+				<-release
+				x.Close = true
+				return
+			}
+			if !x.AwaitTurn() {
+				return
+			}
+			mu.Lock()
+			started = append(started, path)
+			mu.Unlock()
+		})
+		c := dial(address)
+		c.send(get("/first") + get("/second"))
+		time.Sleep(20 * time.Millisecond)
+		close(release)
+		Expect(c.answer().Header.ConnectionClose()).To(BeTrue())
+		Expect(c.ended()).To(BeTrue())
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(started).To(BeEmpty())
+	})
+
+	framings := []struct {
+		name, text string
+		status     int
+	}{
+		{"a chunked body", "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200},
+		{"a length and chunks", "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 400},
+		{"chunks and a length", "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 400},
+		{"two lengths", "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400},
+		{"a length that is no number", "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc", 400},
+		{"a broken chunk", "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 400},
+		{"a header that is too large", "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", 431},
+		{"a body that is too large", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n", 413},
+		{"a body that waits for a go-ahead", "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na", 200},
+	}
+	for _, c := range framings {
+		It("guards against another reading of the end of a request: "+c.name, func() {
+			_, address := startServer(echo)
+			conn := dial(address)
+			conn.send(c.text)
+			response := conn.answer()
+			for response.StatusCode() == 100 {
+				response = conn.answer()
+			}
+			Expect(response.StatusCode()).To(Equal(c.status))
+			if c.status != 200 {
+				Expect(conn.ended()).To(BeTrue(), "what follows an unreadable request must not be read as one")
+			}
+		})
+	}
+
+	It("guards against a planned stop that cuts a running request or leaves callers on their connections", func() {
+		release := make(chan struct{})
+		server, address := startServer(func(x *exchanger.Exchange) {
+			if string(x.Request.Header.RequestURI()) == "/running" {
+				<-release
+			}
+			echo(x)
+		})
+		idle, busy := dial(address), dial(address)
+		idle.send(get("/"))
+		idle.answer()
+		busy.send(get("/running"))
+		time.Sleep(20 * time.Millisecond)
+		server.CloseAfterAnswers()
+		server.StopAccepting()
+		Expect(server.CloseIdle()).To(Equal(1))
+		Expect(idle.ended()).To(BeTrue())
+		close(release)
+		response := busy.answer()
+		Expect(string(response.Body())).To(Equal("/running|"))
+		Expect(response.Header.ConnectionClose()).To(BeTrue())
+		Eventually(server.CloseIdle).WithTimeout(patience).Should(BeZero())
+	})
+
+	It("guards against more requests read ahead than the bound", func() {
+		var running atomic.Int64
+		release := make(chan struct{})
+		_, address := startServer(func(*exchanger.Exchange) {
+			running.Add(1)
+			<-release
+		})
+		c := dial(address)
+		for i := range 30 {
+			c.send(get(fmt.Sprintf("/%d", i)))
+		}
+		Eventually(running.Load).WithTimeout(patience).Should(BeNumerically("==", 16))
+		Consistently(running.Load).WithTimeout(50 * time.Millisecond).Should(BeNumerically("==", 16))
+		close(release)
+		for range 30 {
+			Expect(c.answer().StatusCode()).To(Equal(200))
+		}
+	})
+})
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -114,7 +115,7 @@
 	header := &x.Request.Header
 	header.SetNoDefaultContentType(true)
 	if err := header.Read(c.reader); err != nil {
-		return headerProblem(err), false
+		return readProblem(err), false
 	}
 	if ambiguous(header) {
 		return problem(Malformed), false
@@ -132,19 +133,15 @@
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 			return problem(BodyTooLarge), false
 		}
-		var broken fasthttp.ErrBrokenChunk
-		if errors.As(err, &broken) {
-			return problem(Malformed), false
-		}
-		return nil, false
+		return readProblem(err), false
 	}
 	return nil, true
 }
 
 func problem(p Problem) *Problem { return &p }
 
-// headerProblem tells a request that is wrong from a connection that has ended.
-func headerProblem(err error) *Problem {
+// readProblem tells a request that is wrong from a connection that has ended.
+func readProblem(err error) *Problem {
 	var small *fasthttp.ErrSmallBuffer
 	if errors.As(err, &small) {
 		return problem(HeaderTooLarge)
@@ -322,7 +319,8 @@
 // closeIdle ends the connection if no request waits for its answer.
 func (c *serverConn) closeIdle() bool {
 	c.mu.Lock()
-	idle := len(c.pending) == 0 && !c.reading
+	// A request that has arrived and was not read yet is served first.
+	idle := len(c.pending) == 0 && !c.reading && !c.hasInput()
 	if idle {
 		c.closed = true
 	}
@@ -333,6 +331,16 @@
 	return idle
 }
 
+// hasInput reports whether bytes, or the end, have arrived and were not read.
+func (c *serverConn) hasInput() bool {
+	source, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	return err == nil && PeerClosed(raw)
+}
+
 func (c *serverConn) setReadTimeout(timeout timer.Millis) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout.Duration())) // Fails only on a closed connection.
 }
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 )
 
 // errStale is returned by the first write of a request on a connection that
@@ -54,7 +56,7 @@
 // Write refuses to begin a request on a connection that the other end closed.
 func (c *connection) Write(data []byte) (int, error) {
 	first := c.phase != phaseWritten
-	if first && time.Since(c.lastUsed) > idleCheckAfter && c.closedByPeer() {
+	if first && time.Since(c.lastUsed) > idleCheckAfter && exchanger.PeerClosed(c.raw) {
 		c.unwritten = true
 		return 0, errStale
 	}
@@ -82,22 +84,6 @@
 // LocalAddr returns an address that leads back to the connection.
 func (c *connection) LocalAddr() net.Addr { return &c.address }
 
-// closedByPeer peeks at the socket. Data that nobody asked for is treated like
-// a closed connection, since it cannot belong to the next request.
-func (c *connection) closedByPeer() bool {
-	if c.raw == nil {
-		return false
-	}
-	closed := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = !errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return closed || err != nil
-}
-
 type connectionAddr struct {
 	net.Addr
 	conn *connection
