Check a VM's slowdown before a start, and routes of senders that lag

Admission now asks for the load if it is older than 40 ms and sends the attempt back, unstarted, if the VM is much slower than its sender assumed. The ratio in use goes to 0.3 of the budget. - A request behind a closing answer could start (a race found by its spec).

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -133,7 +133,7 @@
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
 		Self: config.Node, Caller: config.Service, Incarnation: d.incarnation, FailureDomain: config.FailureDomain,
 		Clock: clock, Configuration: d.configuration, Members: d.gossiper, Peers: d.peers, Admission: d.admission,
-		Dialect: config.Dialect, Retries: config.Retries, Logger: config.Logger,
+		Dialect: config.Dialect, Retries: config.Retries, Behind: d.ahead, Logger: config.Logger,
 	})
 	return d, nil
 }
--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -36,9 +36,12 @@
 	Priority int
 	// MaxWait bounds the wait for the start. Zero means until the deadline.
 	MaxWait timer.Millis
-	// Idempotent attempts may be sent again by admission if a kept connection
-	// broke before an answer.
+	// Idempotent attempts may be sent on a connection that was idle for longer.
 	Idempotent bool
+	// Slowdown is how long work takes on the VM, in percent, as the sender
+	// assumed when it chose the instance. Admission sends the attempt back if it
+	// takes much longer. Zero means that the sender takes it as it is.
+	Slowdown int32
 }
 
 // maxPriority bounds the ranks of attempts.
@@ -49,6 +52,8 @@
 	buf := strconv.AppendInt(make([]byte, 0, 24), int64(u.Priority), 10)
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, int64(u.MaxWait), 10)
+	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, int64(u.Slowdown), 10)
 	if u.Idempotent {
 		buf = append(buf, " i"...)
 	}
@@ -58,8 +63,8 @@
 // ParseUrgency reads and checks an urgency as String encodes it.
 func ParseUrgency(text string) (Urgency, error) {
 	parts := strings.Fields(text)
-	if len(parts) < 2 || len(parts) > 3 || len(parts) == 3 && parts[2] != "i" {
-		return Urgency{}, Error.New("%s %q has not two or three parts", HeaderUrgency, text)
+	if len(parts) < 3 || len(parts) > 4 || len(parts) == 4 && parts[3] != "i" {
+		return Urgency{}, Error.New("%s %q has not three or four parts", HeaderUrgency, text)
 	}
 	priority, err := strconv.Atoi(parts[0])
 	if err != nil || priority < 0 || priority > maxPriority {
@@ -69,7 +74,11 @@
 	if err != nil || wait < 0 || timer.Millis(wait) > timer.Day {
 		return Urgency{}, Error.New("%s %q: wait is not a time in ms between 0 and one day", HeaderUrgency, text)
 	}
-	return Urgency{Priority: priority, MaxWait: timer.Millis(wait), Idempotent: len(parts) == 3}, nil
+	slowdown, err := strconv.ParseInt(parts[2], 10, 32)
+	if err != nil || slowdown < 0 {
+		return Urgency{}, Error.New("%s %q: slowdown is not a percentage", HeaderUrgency, text)
+	}
+	return Urgency{Priority: priority, MaxWait: timer.Millis(wait), Slowdown: int32(slowdown), Idempotent: len(parts) == 4}, nil
 }
 
 // Encode writes the attempt into a request's headers.
--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -46,4 +46,8 @@
 	ReasonDomainOut   Reason = "domain_out"
 	ReasonIsolated    Reason = "isolated"
 	ReasonUnavailable Reason = "unavailable"
+	// ReasonSenderBehind means that the sender's configuration is too old.
+	ReasonSenderBehind Reason = "sender_behind"
+	// ReasonSlowed means that the VM is much slower than the sender assumed.
+	ReasonSlowed Reason = "slowed"
 )
--- a/internal/state/retrier/events.go
+++ b/internal/state/retrier/events.go
@@ -22,6 +22,9 @@
 	// ReasonQuarantined is the refusal that every instance of the service gives,
 	// so it is not retried.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonSenderBehind is the refusal of an attempt that only an older
+	// configuration sends here; other instances of the service refuse it too.
+	ReasonSenderBehind Reason = "sender_behind"
 )
 
 // FenceState is what admission knows of an attempt.
--- a/internal/state/retrier/retrier.go
+++ b/internal/state/retrier/retrier.go
@@ -187,7 +187,7 @@
 	if e.Reason != ReasonNoInstance || r.reason == "" {
 		r.reason = e.Reason
 	}
-	if e.Reason == ReasonQuarantined {
+	if e.Reason == ReasonQuarantined || e.Reason == ReasonSenderBehind {
 		r.exhausted = true
 	}
 	if e.RetryAfter > 0 && (r.retryAfter == 0 || e.RetryAfter < r.retryAfter) {
--- a/internal/state/router/snapshot.go
+++ b/internal/state/router/snapshot.go
@@ -36,6 +36,12 @@
 // Lookup returns the route of a request.
 func (s *Snapshot) Lookup(host, path string) (*Route, bool) { return s.table.Lookup(host, path) }
 
+// Sends reports whether requests of a host and path may go to a service.
+func (s *Snapshot) Sends(host, path string, service identifier.ServiceName) bool {
+	route, found := s.Lookup(host, path)
+	return found && slices.ContainsFunc(route.Parts, func(p Part) bool { return p.Service == service })
+}
+
 // Service returns what the configuration says of a service.
 func (s *Snapshot) Service(name identifier.ServiceName) (*Service, bool) {
 	service, found := s.services[name]
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -81,8 +81,9 @@
 	usedAt   timer.Millis
 	revision uint64
 	checkAt  timer.Millis
-	checking bool
-	drained  chan struct{}
+	// checked is closed when the health check under way ends; nil without one.
+	checked chan struct{}
+	drained chan struct{}
 }
 
 // NewAdmission returns an admission without a backend server.
@@ -130,6 +131,10 @@
 // why, if the response holds no answer of the backend server.
 func (a *Admission) Execute(r *Run) (encoder.Refusal, bool) {
 	header := &r.Request.Header
+	if snapshot := a.config.Configuration.Snapshot(); r.Attempt.Version < snapshot.Version &&
+		!snapshot.Sends(string(header.Host()), pathOf(header.RequestURI()), a.config.Member.Service) {
+		return refuse(encoder.ReasonSenderBehind, 0).refusal, false
+	}
 	r.fingerprint = identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), r.Request.Body())
 	a.enter(r)
 	d := <-r.decided
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -165,7 +165,7 @@
 	remaining := e.request.deadline - now
 	details := encoder.Attempt{
 		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
-		Urgency: encoder.Urgency{Priority: route.Priority, MaxWait: maxWait(route, remaining), Idempotent: route.Idempotent},
+		Urgency: encoder.Urgency{Priority: route.Priority, MaxWait: maxWait(route, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent},
 	}
 	request := &fasthttp.Request{}
 	e.x.Request.CopyTo(request)
@@ -256,6 +256,8 @@
 		return
 	}
 	switch refusal.Reason {
+	case encoder.ReasonSenderBehind:
+		e.ingress.config.Behind(a.member)
 	case encoder.ReasonDomainOut, encoder.ReasonUnavailable, encoder.ReasonDraining:
 		e.request.fleet.eject(e.now(), a.member.Node)
 	}
--- a/internal/transport/dispatcher/fleet.go
+++ b/internal/transport/dispatcher/fleet.go
@@ -18,6 +18,7 @@
 	mu      sync.Mutex
 	policy  selector.Policy
 	members map[identifier.InstanceID]registrar.Member
+	loads   map[identifier.InstanceID]registrar.Load
 	version uint64
 	fullAt  timer.Millis
 	window  *retrier.Window
@@ -29,6 +30,7 @@
 	return &fleet{
 		policy:  selector.NewFilter(selector.NewLeastExpected(domain, random)),
 		members: map[identifier.InstanceID]registrar.Member{},
+		loads:   map[identifier.InstanceID]registrar.Load{},
 		window:  retrier.NewWindow(window, now),
 	}
 }
@@ -50,7 +52,9 @@
 		return registrar.Member{}, false
 	}
 	f.policy.Step(now, selector.AttemptSent{Instance: instance})
-	return f.members[instance], true
+	m := f.members[instance]
+	m.Load = f.loads[instance]
+	return m, true
 }
 
 // ended counts the end of an attempt.
@@ -74,6 +78,7 @@
 func (f *fleet) report(now timer.Millis, instance identifier.InstanceID, load registrar.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.loads[instance] = load
 	f.policy.Step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
 		InFlight: load.Running, Queued: load.Queued, Limit: load.Limit, Cold: load.Cold,
 		SlowdownPercent: load.SlowdownPercent, ReceivedAt: now,
@@ -96,6 +101,11 @@
 			usable = append(usable, m.Node)
 		}
 	}
+	for node := range f.loads {
+		if _, found := f.members[node]; !found {
+			delete(f.loads, node)
+		}
+	}
 	f.policy.Step(now, selector.InstancesChanged{Instances: instances})
 	for _, node := range usable {
 		f.policy.Step(now, selector.InstanceUsable{Instance: node})
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -15,6 +15,10 @@
 
 // forward runs a started attempt on the backend server.
 func (a *Admission) forward(r *Run, d decision) (encoder.Refusal, bool) {
+	if a.slowed(r.Attempt.Urgency.Slowdown) {
+		a.finish(r, admitter.Shed, 0)
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonSlowed}, false
+	}
 	started := a.config.Clock.Now()
 	result := a.send(r, d)
 	latency := a.config.Clock.Now() - started
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -22,6 +22,15 @@
 	// unsureCheck is the interval while the backend server's state is not known.
 	unsureCheck   = 100 * timer.Millis(1)
 	healthTimeout = 800 * timer.Millis(1)
+	// freshLoad is the age up to which the load is taken to hold at a start. Shared
+	// hosts change every half second, so that about one start in twenty meets
+	// another slowdown than the one known.
+	freshLoad = 40 * timer.Millis(1)
+	// freshWait bounds the wait for a check before a start.
+	freshWait = 10 * timer.Millis(1)
+	// slowedFactor is how much slower than assumed a VM has to be for an attempt
+	// to be sent back; asking another daemon costs a round trip.
+	slowedFactor = 2
 	// slowPercent is the slowdown from which a VM counts as slow.
 	slowPercent = 150
 	// crashCheckDelay lets the sockets of a dying process close before the check.
@@ -35,20 +44,30 @@
 	now := a.config.Clock.Now()
 	a.step(now, admitter.Tick{})
 	a.setPace(now)
-	check := a.checkDue(now)
-	if check {
-		a.checking, a.checkAt = true, now
-	}
+	due := a.checkDue(now)
 	a.mu.Unlock()
-	if check {
-		go a.check()
+	if due {
+		a.startCheck()
+	}
+}
+
+// startCheck starts a health check unless one is under way, and returns a channel
+// that is closed when it ends.
+func (a *Admission) startCheck() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.checked == nil {
+		a.checked = make(chan struct{})
+		a.checkAt = a.config.Clock.Now()
+		go a.check(a.checked)
 	}
+	return a.checked
 }
 
 // checkDue reports whether the backend server should be asked for its health.
 func (a *Admission) checkDue(now timer.Millis) bool {
 	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
-	if !found || service.HealthPath == "" || a.checking {
+	if !found || service.HealthPath == "" || a.checked != nil {
 		return false
 	}
 	interval := idleCheck
@@ -62,7 +81,7 @@
 }
 
 // check asks the backend server for its health and load.
-func (a *Admission) check() {
+func (a *Admission) check(ended chan struct{}) {
 	service, _ := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	request.Header.SetMethod(fasthttp.MethodGet)
@@ -81,7 +100,8 @@
 	case exchanger.NotSent, exchanger.Broken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
 	}
 	a.mu.Lock()
-	a.checking = false
+	a.checked = nil
+	close(ended)
 	a.mu.Unlock()
 	a.config.Changed()
 }
@@ -118,3 +138,25 @@
 	_ = conn.Close() // Only whether it opens matters.
 	return false
 }
+
+// slowed reports whether the VM is much slower than the sender of an attempt
+// assumed. It asks the backend server if its load is not known well enough.
+func (a *Admission) slowed(assumed int32) bool {
+	if assumed <= 0 {
+		return false
+	}
+	a.mu.Lock()
+	old := a.config.Clock.Now()-a.loadAt > freshLoad
+	a.mu.Unlock()
+	if old {
+		timeout := time.NewTimer(freshWait.Duration())
+		defer timeout.Stop()
+		select {
+		case <-a.startCheck():
+		case <-timeout.C:
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int32(a.load.SlowdownPercent) >= slowedFactor*assumed
+}
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
@@ -50,7 +51,9 @@
 	Admission     *Admission
 	Dialect       Dialect
 	Retries       RetryBudget
-	Logger        *slog.Logger
+	// Behind is called when an instance has a newer configuration.
+	Behind func(registrar.Member)
+	Logger *slog.Logger
 }
 
 // Ingress serves callers. It is safe for concurrent use.
@@ -118,6 +121,41 @@
 	if !route.Idempotent && !x.AwaitTurn() {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDeadline}, false
 	}
+	refusal, answered := i.route(x, snapshot, route, deadline)
+	if answered || refusal.Reason != encoder.ReasonSenderBehind {
+		return refusal, answered
+	}
+	// Another daemon has a newer configuration, by which the request belongs
+	// elsewhere; nothing has run yet.
+	newer := i.awaitNewer(snapshot)
+	if route, found = newer.Lookup(string(header.Host()), pathOf(header.RequestURI())); !found {
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}, false
+	}
+	return i.route(x, newer, route, deadline)
+}
+
+const (
+	// newerWait bounds the wait for a configuration that a member has; members
+	// share it within a round trip.
+	newerWait = 300 * timer.Millis(1)
+	newerPoll = 5 * timer.Millis(1)
+)
+
+// awaitNewer waits a moment for a configuration newer than a snapshot.
+func (i *Ingress) awaitNewer(than *router.Snapshot) *router.Snapshot {
+	end := i.config.Clock.Now() + newerWait
+	for {
+		snapshot := i.config.Configuration.Snapshot()
+		if snapshot.Version > than.Version || i.config.Clock.Now() >= end {
+			return snapshot
+		}
+		time.Sleep(newerPoll.Duration())
+	}
+}
+
+// route sends a request to the service that its route names.
+func (i *Ingress) route(x *exchanger.Exchange, snapshot *router.Snapshot, route *router.Route, deadline timer.Millis) (encoder.Refusal, bool) {
+	header := &x.Request.Header
 	service := i.splitter.Pick(route)
 	i.config.Dialect.Accept(header, i.config.Caller)
 	now := i.config.Clock.Now()
@@ -148,7 +186,7 @@
 // repeated run makes again, which no daemon can tell from others, and for members
 // that were not heard when the extra was shared.
 const (
-	ratioUsed = 0.45
+	ratioUsed = 0.3
 	extraUsed = 0.4
 )
 
--- a/internal/transport/exchanger/exchange.go
+++ b/internal/transport/exchanger/exchange.go
@@ -49,6 +49,15 @@
 	return !x.gone
 }
 
+// giveTurn ends AwaitTurn. The caller holds the connection's lock.
+func (x *Exchange) giveTurn() {
+	select {
+	case <-x.turn:
+	default:
+		close(x.turn)
+	}
+}
+
 // OnGone calls a function once when the caller hangs up, at once if it has. The
 // function must not block.
 func (x *Exchange) OnGone(f func()) {
@@ -70,17 +79,18 @@
 	return x.gone
 }
 
-// hangUp runs the functions of OnGone.
-func (x *Exchange) hangUp() {
+// hangUp notes that the caller has gone and returns the functions of OnGone that
+// are to be called.
+func (x *Exchange) hangUp() []func() {
 	x.mu.Lock()
-	already := x.gone
+	defer x.mu.Unlock()
 	x.gone = true
 	functions := x.onGone
 	x.onGone = nil
-	x.mu.Unlock()
-	if already {
-		return
-	}
+	return functions
+}
+
+func call(functions []func()) {
 	for _, f := range functions {
 		f()
 	}
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -221,7 +221,7 @@
 			c.closed = true
 		}
 		if len(c.pending) > 0 && !c.closed {
-			close(c.pending[0].turn)
+			c.pending[0].giveTurn()
 		}
 		c.space.Signal()
 	}
@@ -265,12 +265,9 @@
 // The caller holds the lock.
 func (c *serverConn) abandon() {
 	for _, x := range c.pending {
-		go x.hangUp()
-		select {
-		case <-x.turn:
-		default:
-			close(x.turn)
-		}
+		// The turn comes last, so that a handler that waits for it sees the end.
+		go call(x.hangUp())
+		x.giveTurn()
 	}
 	c.pending = nil
 	c.space.Broadcast()
@@ -301,18 +298,14 @@
 		c.pending = nil
 	}
 	c.space.Broadcast()
-	c.mu.Unlock()
-	_ = c.conn.Close() // Nothing is read or written after this.
+	var functions []func()
 	for _, x := range pending {
-		x.hangUp()
-		c.mu.Lock()
-		select {
-		case <-x.turn:
-		default:
-			close(x.turn)
-		}
-		c.mu.Unlock()
+		functions = append(functions, x.hangUp()...)
+		x.giveTurn()
 	}
+	c.mu.Unlock()
+	_ = c.conn.Close() // Nothing is read or written after this.
+	call(functions)
 	c.server.remove(c)
 }
 
