--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -34,6 +34,11 @@
 type Source interface {
 	// Follow passes each newer snapshot on until the context ends.
 	Follow(ctx context.Context, adopt func(*router.Snapshot))
+	// Elect gives the question whether this daemon is to read at all. The others
+	// get the configuration from those that do.
+	Elect(elected func() bool)
+	// Reached reports whether the last call was answered.
+	Reached() bool
 	// Refresh makes Follow read again at once, because a connection may have
 	// gone silent.
 	Refresh()
@@ -93,7 +98,8 @@
 	callerServer *exchanger.Server
 	peerServer   *exchanger.Server
 	stopping     atomic.Bool
-	fetching     atomic.Bool
+	shared       shared
+	newer        newer
 	// registered wakes the registration when the own entry has changed.
 	registered chan struct{}
 	left       atomic.Bool
@@ -123,13 +129,14 @@
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
 		Address: config.Addresses.Reports, Clock: clock,
-		Self:     func() registrar.Member { m, _ := d.admission.Member(); return m },
+		Self:     d.self,
 		Position: d.position, Ahead: d.ahead, Loaded: func(m registrar.Member) { d.ingress.Report(m) },
 		Quarantined: d.admission.Remote, Logger: config.Logger,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	config.Source.Elect(d.gossiper.Elected)
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
 		Self: config.Node, Caller: config.Service, Incarnation: d.incarnation, FailureDomain: config.FailureDomain,
 		Clock: clock, Configuration: d.configuration, Members: d.gossiper, Peers: d.peers, Admission: d.admission,
@@ -145,6 +152,13 @@
 	}
 }
 
+// self describes this daemon for others.
+func (d *Daemon) self() registrar.Member {
+	m, _ := d.admission.Member()
+	m.Cut = !d.config.Source.Reached()
+	return m
+}
+
 func (d *Daemon) position() gossiper.Position {
 	snapshot := d.configuration.Snapshot()
 	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset}
@@ -159,6 +173,7 @@
 		"routes", len(next.Routes), "out", next.Out)
 	d.ingress.Keep(next)
 	d.admission.Refresh()
+	d.gossiper.Poke()
 }
 
 // Ready reports whether the daemon takes callers' requests.
@@ -189,6 +204,3 @@
 	default:
 	}
 }
-
-// Speaking returns the number of daemons heard of lately, with this one.
-func (d *Daemon) Speaking() int { return d.gossiper.Speaking() }
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -26,6 +26,7 @@
 	known := false
 	for ctx.Err() == nil {
 		if !d.registerOnce(ctx) || !known && !d.learn(ctx) {
+			known = known || d.learnFromMember()
 			time.Sleep((directoryRetry + timer.Millis(rand.Int64N(int64(directoryJitter)))).Duration())
 			continue
 		}
@@ -62,6 +63,13 @@
 	return true
 }
 
+// learnFromMember asks a daemon that has reported to this one, while the directory
+// cannot be read.
+func (d *Daemon) learnFromMember() bool {
+	members := d.gossiper.Members()
+	return len(members) > 0 && d.fetchMembers(members[rand.IntN(len(members))])
+}
+
 // learned takes members from the directory or from another daemon. An entry of
 // an earlier run of this daemon tells of a leave that it acknowledged.
 func (d *Daemon) learned(members []registrar.Member) {
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -89,8 +89,9 @@
 	table   *registrar.Registrar
 	users   map[identifier.Incarnation]timer.Millis
 	entries []pendingEntry
-	// told is what the last datagram to all said.
-	told registrar.Member
+	// told and toldPosition are what the last datagram to all said.
+	told         registrar.Member
+	toldPosition Position
 }
 
 type pendingEntry struct {
@@ -199,6 +200,14 @@
 	return g.table.Members()
 }
 
+// Elected reports whether this daemon is one of those that read the store.
+func (g *Gossiper) Elected() bool {
+	own := g.config.Self()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Elected(g.config.Clock.Now(), own)
+}
+
 // Speaking returns the number of daemons heard of lately, with this one.
 func (g *Gossiper) Speaking() int {
 	g.mu.Lock()
@@ -221,13 +230,14 @@
 // broadcast tells others what has changed. At the fixed interval it sends a pulse
 // in any case.
 func (g *Gossiper) broadcast(due bool) {
-	own := g.config.Self()
+	own, position := g.config.Self(), g.config.Position()
 	g.config.Loaded(own)
 	g.mu.Lock()
 	changed := g.changed(own) || len(g.entries) > 0
+	moved := position != g.toldPosition || own.Cut != g.told.Cut
 	notable := notable(g.told.Load, own.Load)
-	if changed || notable || due {
-		g.told = own
+	if changed || moved || notable || due {
+		g.told, g.toldPosition = own, position
 	}
 	g.mu.Unlock()
 	var data []byte
@@ -237,17 +247,17 @@
 		if data, ok = g.report(own); !ok {
 			return
 		}
-	case notable || due:
+	case moved || notable || due:
 		data = pulse{
 			Pulse: registrar.Pulse{
-				Incarnation: own.Incarnation, Revision: own.Revision, Accepting: own.Accepting, Load: own.Load,
+				Incarnation: own.Incarnation, Revision: own.Revision, Accepting: own.Accepting, Cut: own.Cut, Load: own.Load,
 			},
-			Position: g.config.Position(),
+			Position: position,
 		}.encode()
 	default:
 		return
 	}
-	for _, address := range g.targets(due || changed) {
+	for _, address := range g.targets(due, changed || moved) {
 		g.send(address, data)
 	}
 }
@@ -255,7 +265,7 @@
 // changed reports whether more than the load differs from what was told.
 func (g *Gossiper) changed(own registrar.Member) bool {
 	told := g.told
-	told.Revision, told.Load = own.Revision, own.Load
+	told.Revision, told.Load, told.Cut = own.Revision, own.Load, own.Cut
 	return told != own
 }
 
@@ -292,13 +302,14 @@
 	return data, true
 }
 
-// targets returns the addresses that a report goes to.
-func (g *Gossiper) targets(full bool) []identifier.Address {
+// targets returns the addresses that a datagram goes to: all of a small fleet, and
+// in a large one all for a change that every member has to know.
+func (g *Gossiper) targets(due, all bool) []identifier.Address {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	members := g.table.Members()
 	var addresses []identifier.Address
-	if len(members) <= smallFleet {
+	if all || len(members) <= smallFleet {
 		for _, m := range members {
 			addresses = append(addresses, m.Report)
 		}
@@ -309,7 +320,7 @@
 			addresses = append(addresses, m.Report)
 		}
 	}
-	if full {
+	if due {
 		for range sample {
 			addresses = append(addresses, members[rand.IntN(len(members))].Report)
 		}
--- a/internal/coordination/gossiper/message.go
+++ b/internal/coordination/gossiper/message.go
@@ -58,6 +58,9 @@
 	if p.Load.Cold {
 		flags |= 2
 	}
+	if p.Cut {
+		flags |= 4
+	}
 	data := []byte{kindPulse}
 	for _, field := range [pulseFields]uint64{
 		uint64(p.Incarnation), p.Revision, uint64(p.Position.Version), uint64(p.Position.Offset), flags,
@@ -88,7 +91,7 @@
 	}
 	return pulse{
 		Pulse: registrar.Pulse{
-			Incarnation: identifier.Incarnation(fields[0]), Revision: fields[1], Accepting: fields[4]&1 > 0,
+			Incarnation: identifier.Incarnation(fields[0]), Revision: fields[1], Accepting: fields[4]&1 > 0, Cut: fields[4]&4 > 0,
 			Load: registrar.Load{
 				Running: int32(fields[5]), Queued: int32(fields[6]), Limit: int32(fields[7]),
 				SlowdownPercent: int32(fields[8]), Cold: fields[4]&2 > 0,
--- a/internal/coordination/gossiper/message_test.go
+++ b/internal/coordination/gossiper/message_test.go
@@ -19,6 +19,7 @@
 				Incarnation: identifier.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
 				Revision:    rapid.Uint64().Draw(t, "revision"),
 				Accepting:   rapid.Bool().Draw(t, "accepting"),
+				Cut:         rapid.Bool().Draw(t, "cut"),
 				Load: registrar.Load{
 					Running: count("running"), Queued: count("queued"), Limit: count("limit"),
 					SlowdownPercent: count("slowdown"), Cold: rapid.Bool().Draw(t, "cold"),
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -56,7 +56,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Accepting says that admission takes attempts.
 	Accepting bool `json:"accepting"`
-	Load      Load `json:"load"`
+	// Cut says that the daemon does not reach the platform's store.
+	Cut  bool `json:"cut,omitempty"`
+	Load Load `json:"load"`
 }
 
 const (
@@ -90,6 +92,7 @@
 	Incarnation identifier.Incarnation
 	Revision    uint64
 	Accepting   bool
+	Cut         bool
 	Load        Load
 }
 
@@ -137,7 +140,7 @@
 		r.version++
 		return Restarted
 	}
-	old.Revision, old.Load = m.Revision, m.Load
+	old.Revision, old.Load, old.Cut = m.Revision, m.Load, m.Cut
 	if old != m || revived {
 		r.version++
 		return MemberChanged
@@ -154,6 +157,7 @@
 		return Member{}, false
 	}
 	if p.Revision > e.member.Revision {
+		e.member.Cut = p.Cut
 		if now-e.heardAt > silentAfter {
 			r.version++
 		}
--- a/internal/state/selector/leastexpected.go
+++ b/internal/state/selector/leastexpected.go
@@ -25,7 +25,7 @@
 	loadShare = 0.3
 	// remotePenalty is the round trip to another failure domain, about a
 	// fiftieth of a run, and makes the own one win a tie.
-	remotePenalty = 0.06
+	remotePenalty = 0.3
 	percent       = 100
 )
 
