Log and count each decision on a request, within a budget

One line at ingress for each request, one for each attempt, one at admission, with the inputs that decided it and their age. Lines go through a bounded buffer and a budget in which failures come first; what is dropped is counted.

--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/recorder"
 	"github.com/magnoliaknot/magnoliaknot/platform"
 )
 
@@ -29,13 +30,15 @@
 			if path == "" {
 				path = os.Getenv(platform.SettingsVariable)
 			}
-			logger := slog.New(slog.NewJSONHandler(cmd.OutOrStdout(), &slog.HandlerOptions{Level: least}))
+			log := recorder.New(cmd.OutOrStdout(), recorder.Config{Level: least})
+			defer log.Close()
+			logger := slog.New(log.Handler())
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return platform.Run(ctx, path, logger)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file in JSON")
-	cmd.Flags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	cmd.Flags().StringVar(&level, "log-level", "debug", "least level that is logged: debug, info, warn or error")
 	return cmd
 }
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -63,8 +63,9 @@
 // Admission decides about attempts for the backend server beside the daemon and
 // runs those that start. It is safe for concurrent use.
 type Admission struct {
-	config AdmissionConfig
-	pool   *exchanger.Pool
+	config   AdmissionConfig
+	observer *observer
+	pool     *exchanger.Pool
 
 	mu          sync.Mutex
 	admitter    *admitter.Admitter
@@ -89,7 +90,8 @@
 // NewAdmission returns an admission without a backend server.
 func NewAdmission(config AdmissionConfig) *Admission {
 	return &Admission{
-		config: config,
+		config:   config,
+		observer: newObserver(config.Logger),
 		pool: exchanger.NewPool(exchanger.PoolConfig{
 			Address: config.Address, ConnectTimeout: backendConnectTimeout,
 			MaxIdle: backendMaxIdle, IdleTimeout: backendIdleTimeout,
@@ -136,12 +138,27 @@
 		return refuse(encoder.ReasonSenderBehind, 0).refusal, false
 	}
 	r.fingerprint = identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), r.Request.Body())
+	arrived := a.config.Clock.Now()
 	a.enter(r)
 	d := <-r.decided
+	record := a.record(r)
+	record.waited = a.config.Clock.Now() - arrived
 	if !d.start {
+		record.reason = d.refusal.Reason
+		a.observer.ran(record)
 		return d.refusal, false
 	}
-	return a.forward(r, d)
+	return a.forward(r, d, record)
+}
+
+// record begins what is recorded of an attempt with what is known at its decision.
+func (a *Admission) record(r *Run) runEndRecord {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return runEndRecord{
+		request: string(a.config.Dialect.RequestID(&r.Request.Header)), attempt: r.Attempt.ID.String(),
+		backend: string(a.backend.ID), load: a.currentLoad(), loadAge: a.config.Clock.Now() - a.loadAt,
+	}
 }
 
 // Cancel ends an attempt that nobody waits for. It does not wait.
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -26,6 +26,8 @@
 	fleet    *fleet
 	version  identifier.Version
 	deadline timer.Millis
+	// end collects what the log line of the request says.
+	end *requestEnd
 }
 
 // attempt is one attempt of an exchange.
@@ -33,6 +35,8 @@
 	number   retrier.Attempt
 	id       identifier.AttemptID
 	member   registrar.Member
+	sentAt   timer.Millis
+	loadAge  timer.Millis
 	call     *exchanger.Call // Nil for the own instance.
 	run      *Run            // Nil for others.
 	response *fasthttp.Response
@@ -126,8 +130,10 @@
 func (e *exchange) now() timer.Millis { return e.ingress.config.Clock.Now() }
 
 func (e *exchange) finish(finish retrier.Finish) (encoder.Refusal, bool) {
+	e.request.end.attempts += len(e.attempts)
 	switch finish.Outcome {
 	case retrier.OutcomeComplete:
+		e.request.end.instance = string(e.attempts[finish.Attempt-1].member.Node)
 		e.answers[finish.Attempt].CopyTo(&e.x.Response)
 		return encoder.Refusal{}, true
 	case retrier.OutcomeNotRun:
@@ -153,12 +159,14 @@
 // send starts an attempt and reports false if no instance is left.
 func (e *exchange) send(number retrier.Attempt) bool {
 	now := e.now()
-	member, found := e.request.fleet.pick(now, e.tried)
+	member, loadAt, found := e.request.fleet.pick(now, e.tried)
 	a := &attempt{number: number, member: member}
 	e.attempts = append(e.attempts, a)
 	if !found {
 		return false
 	}
+	a.sentAt = now
+	a.loadAge = now - loadAt
 	e.tried = append(e.tried, member.Node)
 	i, route := e.ingress, e.request.route
 	a.id = identifier.AttemptID{Origin: i.config.Incarnation, Sequence: i.sequence.Add(1)}
@@ -267,8 +275,24 @@
 	}, latency, selector.NotRun)
 }
 
+// observe records the end of an attempt.
+func (e *exchange) observe(a *attempt, event retrier.Event) {
+	end := attemptEnd{
+		request: e.request.end.request, attempt: a.id.String(), number: int(a.number), instance: string(a.member.Node),
+		load: a.member.Load, loadAge: a.loadAge, elapsed: e.now() - a.sentAt, result: resultAnswered,
+	}
+	switch ev := event.(type) {
+	case retrier.NotRun:
+		end.result, end.reason = resultNotRun, string(ev.Reason)
+	case retrier.Unknown:
+		end.result = resultUnknown
+	}
+	e.ingress.observer.attempted(end)
+}
+
 func (e *exchange) ended(a *attempt, event retrier.Event, latency time.Duration, result selector.Result) {
 	e.request.fleet.ended(e.now(), a.member.Node, latency, result)
+	e.observe(a, event)
 	end := ended{event: event, attempt: a.number}
 	if result == selector.Complete {
 		end.response = a.response
--- a/internal/transport/dispatcher/fleet.go
+++ b/internal/transport/dispatcher/fleet.go
@@ -18,19 +18,25 @@
 	mu      sync.Mutex
 	policy  selector.Policy
 	members map[identifier.InstanceID]registrar.Member
-	loads   map[identifier.InstanceID]registrar.Load
+	loads   map[identifier.InstanceID]loadReport
 	version uint64
 	fullAt  timer.Millis
 	window  *retrier.Window
 	answers retrier.Latencies
 }
 
+// loadReport is the last load of an instance.
+type loadReport struct {
+	load registrar.Load
+	at   timer.Millis
+}
+
 func newFleet(domain identifier.FailureDomain, window retrier.WindowConfig, now timer.Millis) *fleet {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &fleet{
 		policy:  selector.NewFilter(selector.NewLeastExpected(domain, random)),
 		members: map[identifier.InstanceID]registrar.Member{},
-		loads:   map[identifier.InstanceID]registrar.Load{},
+		loads:   map[identifier.InstanceID]loadReport{},
 		window:  retrier.NewWindow(window, now),
 	}
 }
@@ -43,18 +49,20 @@
 	f.window.Earn(now)
 }
 
-// pick chooses an instance and counts the attempt to it.
-func (f *fleet) pick(now timer.Millis, tried []identifier.InstanceID) (registrar.Member, bool) {
+// pick chooses an instance, counts the attempt to it and tells when its load was
+// reported.
+func (f *fleet) pick(now timer.Millis, tried []identifier.InstanceID) (m registrar.Member, loadAt timer.Millis, found bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	instance, found := f.policy.Pick(now, selector.Exclusions{Tried: tried})
 	if !found {
-		return registrar.Member{}, false
+		return registrar.Member{}, 0, false
 	}
 	f.policy.Step(now, selector.AttemptSent{Instance: instance})
-	m := f.members[instance]
-	m.Load = f.loads[instance]
-	return m, true
+	m = f.members[instance]
+	last := f.loads[instance]
+	m.Load = last.load
+	return m, last.at, true
 }
 
 // ended counts the end of an attempt.
@@ -78,7 +86,7 @@
 func (f *fleet) report(now timer.Millis, instance identifier.InstanceID, load registrar.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loads[instance] = load
+	f.loads[instance] = loadReport{load, now}
 	f.policy.Step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
 		InFlight: load.Running, Queued: load.Queued, Limit: load.Limit, Cold: load.Cold,
 		SlowdownPercent: load.SlowdownPercent, ReceivedAt: now,
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -14,25 +14,30 @@
 )
 
 // forward runs a started attempt on the backend server.
-func (a *Admission) forward(r *Run, d decision) (encoder.Refusal, bool) {
+func (a *Admission) forward(r *Run, d decision, record runEndRecord) (encoder.Refusal, bool) {
 	if a.slowed(r.Attempt.Urgency.Slowdown) {
 		a.finish(r, admitter.Shed, 0)
+		record.reason, record.load = encoder.ReasonSlowed, a.Load()
+		a.observer.ran(record)
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonSlowed}, false
 	}
 	started := a.config.Clock.Now()
-	result := a.send(r, d)
+	result, reused := a.send(r, d)
 	latency := a.config.Clock.Now() - started
 	end := a.judge(r, result)
 	if end.result == admitter.Crashed && !a.died() {
 		end.result = admitter.Failed
 	}
 	a.finish(r, end.result, latency)
+	record.started, record.result, record.reason = true, end.result, end.refusal.Reason
+	record.ran, record.reused, record.status = latency, reused, r.Response.StatusCode()
+	a.observer.ran(record)
 	return end.refusal, end.answered
 }
 
 // send sends an attempt once. A kept connection that broke may have carried the
 // request to its run, so that a repeat is for the sender's budget to decide.
-func (a *Admission) send(r *Run, d decision) exchanger.Result {
+func (a *Admission) send(r *Run, d decision) (result exchanger.Result, reused bool) {
 	id := bytes.Clone(a.config.Dialect.RequestID(&r.Request.Header))
 	deadline := time.Now().Add(d.remaining.Duration())
 	reuse := unrepeatableReuse
@@ -45,9 +50,10 @@
 		Belongs: func(header *fasthttp.ResponseHeader) bool { return a.config.Dialect.Belongs(header, id) },
 	}
 	if !r.attach(call) {
-		return exchanger.NotSent
+		return exchanger.NotSent, false
 	}
-	return a.pool.Do(call)
+	result = a.pool.Do(call)
+	return result, call.Reused
 }
 
 // runEnd is how a started attempt ended.
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -59,6 +59,7 @@
 // Ingress serves callers. It is safe for concurrent use.
 type Ingress struct {
 	config   IngressConfig
+	observer *observer
 	splitter *router.Splitter
 	sequence atomic.Uint64
 	inFlight atomic.Int64
@@ -72,6 +73,7 @@
 func NewIngress(config IngressConfig) *Ingress {
 	return &Ingress{
 		config:   config,
+		observer: newObserver(config.Logger),
 		splitter: router.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		fleets:   map[identifier.ServiceName]*fleet{},
 	}
@@ -87,21 +89,17 @@
 func (i *Ingress) Handle(x *exchanger.Exchange) {
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
-	refusal, answered := i.serve(x)
-	if !answered {
-		i.refuse(x, refusal)
+	end := requestEnd{request: string(i.config.Dialect.RequestID(&x.Request.Header)), outcome: encoder.Complete}
+	if refusal, answered := i.serve(x, &end); !answered {
+		i.config.Dialect.Refuse(&x.Response, &x.Request.Header, refusal)
+		end.outcome, end.reason, end.retryAfter = refusal.Outcome, refusal.Reason, refusal.RetryAfterMs
 	}
-}
-
-func (i *Ingress) refuse(x *exchanger.Exchange, refusal encoder.Refusal) {
-	i.config.Dialect.Refuse(&x.Response, &x.Request.Header, refusal)
-	i.config.Logger.Debug("request not served", "request", string(i.config.Dialect.RequestID(&x.Request.Header)),
-		"outcome", string(refusal.Outcome), "reason", string(refusal.Reason), "retry_after_ms", refusal.RetryAfterMs,
-		"elapsed_ms", i.config.Clock.Now()-x.ReceivedAt)
+	end.status, end.elapsed = x.Response.StatusCode(), i.config.Clock.Now()-x.ReceivedAt
+	i.observer.ended(end)
 }
 
 // serve reports false, and why, if the response holds no answer.
-func (i *Ingress) serve(x *exchanger.Exchange) (encoder.Refusal, bool) {
+func (i *Ingress) serve(x *exchanger.Exchange, end *requestEnd) (encoder.Refusal, bool) {
 	if i.draining.Load() {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDraining, RetryAfterMs: drainRetry}, false
 	}
@@ -121,7 +119,8 @@
 	if !route.Idempotent && !x.AwaitTurn() {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDeadline}, false
 	}
-	refusal, answered := i.route(x, snapshot, route, deadline)
+	end.timeLeft = deadline - x.ReceivedAt
+	refusal, answered := i.route(x, snapshot, route, deadline, end)
 	if answered || refusal.Reason != encoder.ReasonSenderBehind {
 		return refusal, answered
 	}
@@ -131,7 +130,7 @@
 	if route, found = newer.Lookup(string(header.Host()), pathOf(header.RequestURI())); !found {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}, false
 	}
-	return i.route(x, newer, route, deadline)
+	return i.route(x, newer, route, deadline, end)
 }
 
 const (
@@ -154,14 +153,19 @@
 }
 
 // route sends a request to the service that its route names.
-func (i *Ingress) route(x *exchanger.Exchange, snapshot *router.Snapshot, route *router.Route, deadline timer.Millis) (encoder.Refusal, bool) {
+func (i *Ingress) route(
+	x *exchanger.Exchange, snapshot *router.Snapshot, route *router.Route, deadline timer.Millis, end *requestEnd,
+) (encoder.Refusal, bool) {
 	header := &x.Request.Header
 	service := i.splitter.Pick(route)
 	i.config.Dialect.Accept(header, i.config.Caller)
 	now := i.config.Clock.Now()
 	fleet := i.fleet(now, service)
 	fleet.begin(now, i.window())
-	return i.exchange(x, &request{route: route, service: service, fleet: fleet, version: snapshot.Version, deadline: deadline}).run()
+	end.route, end.service, end.version = route.Name, string(service), uint64(snapshot.Version)
+	return i.exchange(x, &request{
+		route: route, service: service, fleet: fleet, version: snapshot.Version, deadline: deadline, end: end,
+	}).run()
 }
 
 // pathOf returns the path of a request target without its query.
--- /dev/null
+++ b/internal/transport/dispatcher/observer.go
@@ -0,0 +1,160 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// maxRoutes bounds the routes that have metrics of their own; a configuration
+	// may have thousands.
+	maxRoutes  = 100
+	otherRoute = "other"
+	msPerSec   = 1000
+)
+
+// observer writes a line and counts for each decision that touches a request. It
+// is safe for concurrent use.
+type observer struct {
+	logger *slog.Logger
+
+	mu     sync.Mutex
+	routes map[string]struct{}
+}
+
+func newObserver(logger *slog.Logger) *observer {
+	return &observer{logger: logger, routes: map[string]struct{}{}}
+}
+
+// label returns the name of a route on metrics.
+func (o *observer) label(route string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, found := o.routes[route]; found {
+		return route
+	}
+	if len(o.routes) >= maxRoutes {
+		return otherRoute
+	}
+	o.routes[route] = struct{}{}
+	return route
+}
+
+// requestEnd is how a caller's request ended.
+type requestEnd struct {
+	request  string
+	route    string
+	service  string
+	version  uint64
+	outcome  encoder.Outcome
+	reason   encoder.Reason
+	status   int
+	attempts int
+	instance string
+	// refused is how many attempts were sent back before a start.
+	refused    int
+	retryAfter timer.Millis
+	timeLeft   timer.Millis
+	elapsed    timer.Millis
+}
+
+// ended records the end of a caller's request.
+func (o *observer) ended(e requestEnd) {
+	label := o.label(e.route)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_requests_total{route=%q,outcome=%q,reason=%q}`, label, e.outcome, e.reason)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliaknot_request_seconds{route=%q,outcome=%q}`, label, e.outcome)).
+		Update(float64(e.elapsed) / msPerSec)
+	level := slog.LevelDebug
+	if e.outcome != encoder.Complete || e.status >= 500 {
+		level = slog.LevelInfo
+	}
+	o.logger.LogAttrs(context.Background(), level, "request ended",
+		slog.String("request", e.request), slog.String("route", e.route), slog.String("service", e.service),
+		slog.Uint64("version", e.version), slog.String("outcome", string(e.outcome)), slog.String("reason", string(e.reason)),
+		slog.Int("status", e.status), slog.Int("attempts", e.attempts), slog.Int("refused", e.refused),
+		slog.String("instance", e.instance), slog.Int64("retry_after_ms", int64(e.retryAfter)),
+		slog.Int64("time_left_ms", int64(e.timeLeft)), slog.Int64("elapsed_ms", int64(e.elapsed)))
+}
+
+// attemptEnd is how an attempt ended, as its sender sees it.
+type attemptEnd struct {
+	request  string
+	attempt  string
+	number   int
+	instance string
+	// load is what the placement went by, loadAge how old it was.
+	load    registrar.Load
+	loadAge timer.Millis
+	result  string
+	reason  string
+	elapsed timer.Millis
+}
+
+// attempted records the end of an attempt.
+func (o *observer) attempted(e attemptEnd) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_attempts_total{result=%q,reason=%q}`, e.result, e.reason)).Inc()
+	level := slog.LevelInfo
+	if e.number == 1 && e.result == resultAnswered {
+		level = slog.LevelDebug
+	}
+	o.logger.LogAttrs(context.Background(), level, "attempt ended",
+		slog.String("request", e.request), slog.String("attempt", e.attempt), slog.Int("number", e.number),
+		slog.String("instance", e.instance), slog.Int("running", int(e.load.Running)), slog.Int("queued", int(e.load.Queued)),
+		slog.Int("limit", int(e.load.Limit)), slog.Int("slowdown_percent", int(e.load.SlowdownPercent)),
+		slog.Int64("load_age_ms", int64(e.loadAge)), slog.String("result", e.result), slog.String("reason", e.reason),
+		slog.Int64("elapsed_ms", int64(e.elapsed)))
+}
+
+// Results of attempts in the log.
+const (
+	resultAnswered = "answered"
+	resultNotRun   = "not_run"
+	resultUnknown  = "unknown"
+)
+
+// runEndRecord is how an attempt ended at admission.
+type runEndRecord struct {
+	request string
+	attempt string
+	backend string
+	started bool
+	result  admitter.Result
+	reason  encoder.Reason
+	load    registrar.Load
+	loadAge timer.Millis
+	waited  timer.Millis
+	ran     timer.Millis
+	reused  bool
+	status  int
+}
+
+// ran records what admission did with an attempt.
+func (o *observer) ran(e runEndRecord) {
+	result := "refused"
+	if e.started {
+		result = e.result.String()
+		metrics.GetOrCreateHistogram("magnoliaknot_queue_seconds").Update(float64(e.waited) / msPerSec)
+		metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliaknot_service_seconds{result=%q}`, result)).Update(float64(e.ran) / msPerSec)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_admissions_total{result=%q,reason=%q}`, result, e.reason)).Inc()
+	level := slog.LevelInfo
+	if e.started && e.result == admitter.OK {
+		level = slog.LevelDebug
+	}
+	o.logger.LogAttrs(context.Background(), level, "admission ended",
+		slog.String("request", e.request), slog.String("attempt", e.attempt), slog.String("backend", e.backend),
+		slog.String("result", result), slog.String("reason", string(e.reason)), slog.Int("status", e.status),
+		slog.Int("running", int(e.load.Running)), slog.Int("queued", int(e.load.Queued)), slog.Int("limit", int(e.load.Limit)),
+		slog.Int("slowdown_percent", int(e.load.SlowdownPercent)), slog.Bool("cold", e.load.Cold),
+		slog.Int64("load_age_ms", int64(e.loadAge)), slog.Int64("waited_ms", int64(e.waited)),
+		slog.Int64("ran_ms", int64(e.ran)), slog.Bool("reused_connection", e.reused))
+}
