Limit runs at a time below the knee, and wait only while the target can be met

Admission now learns whether runs slow each other down and uses four fifths of the slots if so, lets an attempt wait only while it may still end within its target, and ingress asks three instances at most. Ruled out: placement (running was even over instances, busiest 1.15 of the mean).

--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -36,6 +36,9 @@
 	Priority int
 	// MaxWait bounds the wait for the start. Zero means until the deadline.
 	MaxWait timer.Millis
+	// TargetLeft is the time within which the answer has its full value. Zero
+	// means that the target has passed or that there is none.
+	TargetLeft timer.Millis
 	// Idempotent attempts may be sent on a connection that was idle for longer.
 	Idempotent bool
 	// Slowdown is how long work takes on the VM, in percent, as the sender
@@ -54,6 +57,8 @@
 	buf = strconv.AppendInt(buf, int64(u.MaxWait), 10)
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, int64(u.Slowdown), 10)
+	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, int64(u.TargetLeft), 10)
 	if u.Idempotent {
 		buf = append(buf, " i"...)
 	}
@@ -63,8 +68,8 @@
 // ParseUrgency reads and checks an urgency as String encodes it.
 func ParseUrgency(text string) (Urgency, error) {
 	parts := strings.Fields(text)
-	if len(parts) < 3 || len(parts) > 4 || len(parts) == 4 && parts[3] != "i" {
-		return Urgency{}, Error.New("%s %q has not three or four parts", HeaderUrgency, text)
+	if len(parts) < 4 || len(parts) > 5 || len(parts) == 5 && parts[4] != "i" {
+		return Urgency{}, Error.New("%s %q has not four or five parts", HeaderUrgency, text)
 	}
 	priority, err := strconv.Atoi(parts[0])
 	if err != nil || priority < 0 || priority > maxPriority {
@@ -78,7 +83,14 @@
 	if err != nil || slowdown < 0 {
 		return Urgency{}, Error.New("%s %q: slowdown is not a percentage", HeaderUrgency, text)
 	}
-	return Urgency{Priority: priority, MaxWait: timer.Millis(wait), Slowdown: int32(slowdown), Idempotent: len(parts) == 4}, nil
+	target, err := strconv.ParseInt(parts[3], 10, 64)
+	if err != nil || target < 0 || timer.Millis(target) > timer.Day {
+		return Urgency{}, Error.New("%s %q: target is not a time in ms between 0 and one day", HeaderUrgency, text)
+	}
+	return Urgency{
+		Priority: priority, MaxWait: timer.Millis(wait), Slowdown: int32(slowdown),
+		TargetLeft: timer.Millis(target), Idempotent: len(parts) == 5,
+	}, nil
 }
 
 // Encode writes the attempt into a request's headers.
--- a/internal/protocol/encoder/urgency_test.go
+++ b/internal/protocol/encoder/urgency_test.go
@@ -17,6 +17,7 @@
 			Priority:   rapid.IntRange(0, 1<<20).Draw(t, "priority"),
 			MaxWait:    timer.Millis(rapid.Int64Range(0, int64(timer.Day)).Draw(t, "wait")),
 			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			TargetLeft: timer.Millis(rapid.Int64Range(0, int64(timer.Day)).Draw(t, "target")),
 			Slowdown:   rapid.Int32Range(0, 1<<30).Draw(t, "slowdown"),
 		}
 		parsed, err := encoder.ParseUrgency(u.String())
@@ -28,7 +29,7 @@
 
 // Guards against a broken urgency that makes an attempt repeatable.
 func FuzzParseUrgency(f *testing.F) {
-	for _, text := range []string{"0 0 0", "1 200 100 i", "-1 2 3", "1", "1 2 3 x", "1 2 -3", "1 2 3 i i"} {
+	for _, text := range []string{"0 0 0 0", "1 200 100 300 i", "-1 2 3 4", "1", "1 2 3 4 x", "1 2 -3 4", "1 2 3 -4", "1 2 3 4 i i"} {
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -70,6 +71,7 @@
 	mu          sync.Mutex
 	admitter    *admitter.Admitter
 	quarantiner *quarantiner.Quarantiner
+	estimator   *estimator.Estimator
 	runs        map[identifier.AttemptID]*Run
 	backend     Backend
 	// down says that the backend server cannot be reached or is another one; the
@@ -81,7 +83,9 @@
 	loadAt   timer.Millis
 	usedAt   timer.Millis
 	revision uint64
-	checkAt  timer.Millis
+	// limit is the number of runs at a time that the admitter was given.
+	limit   int
+	checkAt timer.Millis
 	// checked is closed when the health check under way ends; nil without one.
 	checked chan struct{}
 	drained chan struct{}
@@ -98,6 +102,7 @@
 		}),
 		admitter:    admitter.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
+		estimator:   estimator.New(),
 		runs:        map[identifier.AttemptID]*Run{},
 		drained:     make(chan struct{}),
 	}
@@ -133,10 +138,14 @@
 // why, if the response holds no answer of the backend server.
 func (a *Admission) Execute(r *Run) (encoder.Refusal, bool) {
 	header := &r.Request.Header
-	if snapshot := a.config.Configuration.Snapshot(); r.Attempt.Version < snapshot.Version &&
-		!snapshot.Sends(string(header.Host()), pathOf(header.RequestURI()), a.config.Member.Service) {
+	snapshot := a.config.Configuration.Snapshot()
+	host, path := string(header.Host()), pathOf(header.RequestURI())
+	if r.Attempt.Version < snapshot.Version && !snapshot.Sends(host, path, a.config.Member.Service) {
 		return refuse(encoder.ReasonSenderBehind, 0).refusal, false
 	}
+	if route, found := snapshot.Lookup(host, path); found {
+		r.route = route.Name
+	}
 	r.fingerprint = identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), r.Request.Body())
 	arrived := a.config.Clock.Now()
 	a.enter(r)
@@ -189,11 +198,23 @@
 		Attempt: r.Attempt.ID, Remaining: r.Attempt.Remaining,
 		Fingerprint: r.fingerprint, HasFingerprint: true,
 		Solo:     r.Attempt.Solo || verdict == quarantiner.RunSolo,
-		Priority: r.Attempt.Urgency.Priority, MaxWait: r.Attempt.Urgency.MaxWait,
+		Priority: r.Attempt.Urgency.Priority, MaxWait: a.maxWait(r),
 	})
 	a.config.Changed()
 }
 
+// maxWait bounds the wait for a start. A run that is expected to end after the
+// target is worth little, so an attempt waits only while it may end before it; one
+// that cannot starts at once or not at all. The caller holds the lock.
+func (a *Admission) maxWait(r *Run) timer.Millis {
+	u := r.Attempt.Urgency
+	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
+	if u.TargetLeft <= 0 || expected <= 0 {
+		return u.MaxWait
+	}
+	return max(1, min(u.MaxWait, u.TargetLeft-expected))
+}
+
 // unavailableRetry is about the time in which a backend server is back or its
 // loss is known to all daemons.
 const unavailableRetry = 500 * timer.Millis(1)
@@ -287,8 +308,9 @@
 		return
 	}
 	slots := int(a.backend.Slots)
+	a.limit = a.estimator.Limit(now, slots)
 	a.step(now, admitter.Limits{
-		Version: snapshot.Version, MaxInFlight: slots, MaxQueue: queuePerSlot * slots,
+		Version: snapshot.Version, MaxInFlight: a.limit, MaxQueue: queuePerSlot * slots,
 		// A cold backend server is limited by its rate, not by its slots.
 		ColdLimit: slots, RampCompletions: 1, MaxTimeout: maxRunTime,
 	})
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -173,7 +173,10 @@
 	remaining := e.request.deadline - now
 	details := encoder.Attempt{
 		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
-		Urgency: encoder.Urgency{Priority: route.Priority, MaxWait: maxWait(route, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent},
+		Urgency: encoder.Urgency{
+			Priority: route.Priority, MaxWait: maxWait(route, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
+			TargetLeft: max(0, e.x.ReceivedAt+route.Target-now),
+		},
 	}
 	request := &fasthttp.Request{}
 	e.x.Request.CopyTo(request)
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -8,7 +8,9 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -21,13 +23,16 @@
 		a.observer.ran(record)
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonSlowed}, false
 	}
-	started := a.config.Clock.Now()
+	started, before := a.config.Clock.Now(), a.Load()
 	result, reused := a.send(r, d)
 	latency := a.config.Clock.Now() - started
 	end := a.judge(r, result)
 	if end.result == admitter.Crashed && !a.died() {
 		end.result = admitter.Failed
 	}
+	if end.answered && end.result == admitter.OK {
+		a.learn(r, before, latency)
+	}
 	a.finish(r, end.result, latency)
 	record.started, record.result, record.reason = true, end.result, end.refusal.Reason
 	record.ran, record.reused, record.status = latency, reused, r.Response.StatusCode()
@@ -35,6 +40,20 @@
 	return end.refusal, end.answered
 }
 
+// learn takes a run into account for what later ones may expect.
+func (a *Admission) learn(r *Run, before registrar.Load, took timer.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now, slots := a.config.Clock.Now(), int(a.backend.Slots)
+	a.estimator.Observe(now, estimator.Run{
+		Route: r.route, Running: int(before.Running), Slots: slots, Took: took, SlowdownPercent: before.SlowdownPercent,
+	})
+	if limit := a.estimator.Limit(now, slots); limit != a.limit {
+		a.config.Logger.Info("runs at a time limited by their effect on each other", "limit", limit, "before", a.limit, "slots", slots)
+		a.refresh(now)
+	}
+}
+
 // send sends an attempt once. A kept connection that broke may have carried the
 // request to its run, so that a repeat is for the sender's budget to decide.
 func (a *Admission) send(r *Run, d decision) (result exchanger.Result, reused bool) {
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -25,7 +25,7 @@
 	// drainRetry is how soon a caller may try another daemon.
 	drainRetry = 50 * timer.Millis(1)
 	// freeRefusals bounds the instances that are asked for a free slot.
-	freeRefusals = 4
+	freeRefusals = 2
 )
 
 // RetryBudget bounds the repeats of a service over all daemons.
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -19,7 +19,9 @@
 	Response *fasthttp.Response
 
 	fingerprint identifier.Fingerprint
-	decided     chan decision
+	// route names the route by this daemon's configuration.
+	route   string
+	decided chan decision
 
 	mu       sync.Mutex
 	call     *exchanger.Call
