--- /dev/null
+++ b/internal/explainer/explainer.go
@@ -0,0 +1,138 @@
+// Package explainer tells the story of one request from the logs of all processes.
+//
+// # Usage
+//
+//	story, err := explainer.Explain("9c41d07be2a35f68", file1, file2)
+//	fmt.Print(story)
+package explainer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("explain")
+
+// maxLine bounds a line; longer ones are no log lines of this program.
+const maxLine = 1 << 20
+
+// line is one log line of the request.
+type line struct {
+	at     time.Time
+	node   string
+	event  string
+	fields map[string]any
+}
+
+// Explain returns what the logs say of a request, in time order, and why it ended
+// as it did. Lines may have text before the JSON object, as collectors add it.
+func Explain(request string, logs ...io.Reader) (string, error) {
+	var lines []line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(nil, maxLine)
+		for scanner.Scan() {
+			if l, found := parse(scanner.Bytes(), request); found {
+				lines = append(lines, l)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return "", Error.Wrap(err)
+		}
+	}
+	if len(lines) == 0 {
+		return "", Error.New("no line names request %q; ordinary lines may have been dropped, see magnoliaknot_log_lines_dropped_total", request)
+	}
+	slices.SortStableFunc(lines, func(x, y line) int { return x.at.Compare(y.at) })
+	var story strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&story, "%s  %s  %s: %s\n", l.at.UTC().Format("15:04:05.000"), l.node, l.event, describe(l.fields))
+	}
+	story.WriteString(conclude(lines))
+	return story.String(), nil
+}
+
+func parse(text []byte, request string) (line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 || !bytes.Contains(text, []byte(request)) {
+		return line{}, false
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal(text[start:], &fields); err != nil || fields["request"] != request {
+		return line{}, false // Another program's line, or another request's.
+	}
+	l := line{node: textOf(fields["node"]), event: textOf(fields["msg"]), fields: fields}
+	at, err := time.Parse(time.RFC3339Nano, textOf(fields["time"]))
+	if err != nil {
+		return line{}, false
+	}
+	l.at = at
+	for _, name := range []string{"time", "level", "msg", "node", "request"} {
+		delete(fields, name)
+	}
+	return l, true
+}
+
+func textOf(value any) string {
+	text, _ := value.(string)
+	return text
+}
+
+// describe lists the fields by name, without those that say nothing.
+func describe(fields map[string]any) string {
+	var parts []string
+	for name, value := range fields {
+		if value == "" || value == nil || value == 0.0 || value == false {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s=%v", name, value))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+// endings explain outcomes and reasons.
+var endings = map[string]string{
+	"complete":      "a backend server's whole answer was passed on",
+	"not_run":       "refused; it has not run and never will",
+	"unknown":       "no whole answer came; it may have run",
+	"overloaded":    "the wait for a slot would have been too long",
+	"cold":          "backend servers were in cold start and took no more",
+	"slowed":        "VMs had turned slow",
+	"draining":      "a daemon or backend server was leaving",
+	"deadline":      "the caller's time or the route's timeout ended",
+	"caller_gone":   "the caller hung up",
+	"no_answer":     "the connection to the backend server broke after the request was sent",
+	"no_instance":   "no instance of the service was left to try",
+	"shed":          "a backend server declined it",
+	"unavailable":   "a backend server could not be reached",
+	"domain_out":    "its failure domain was out of service",
+	"no_service":    "no route matched",
+	"sender_behind": "the daemon's configuration was too old",
+	"quarantined":   "requests like it crashed backend servers",
+}
+
+// conclude says how the request ended.
+func conclude(lines []line) string {
+	for _, l := range slices.Backward(lines) {
+		if l.event != "request ended" {
+			continue
+		}
+		outcome, reason := textOf(l.fields["outcome"]), textOf(l.fields["reason"])
+		text := fmt.Sprintf("\nended with status %v: %s", l.fields["status"], endings[outcome])
+		if explained := endings[reason]; explained != "" {
+			text += "; " + explained
+		}
+		return text + "\n"
+	}
+	return "\nno line tells its end: it still runs, or the daemon that took it died\n"
+}
