Use a stopping daemon's slots until its callers have left

Other daemons are now told 0.45 s before the end of that time. Ruled out: the store outage (configuration came from members 0.5 s after a start). Refusals are no longer called cold only because a limit equals the slots.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -15,6 +15,9 @@
 
 const (
 	tickInterval = 50 * timer.Millis(1)
+	// leaveLead is how long before the end of the notice other daemons are told to
+	// send no more attempts; reports come every 400 ms if one is lost.
+	leaveLead = 450 * timer.Millis(1)
 	// exitReserve is the part of the grace period that is left for the exit.
 	exitReserve = 500 * timer.Millis(1)
 	stopPoll    = 20 * timer.Millis(1)
@@ -131,9 +134,13 @@
 	end := d.clock.Now() + d.config.Grace - exitReserve
 	d.config.Logger.Info("stopping", "requests_in_flight", d.ingress.InFlight())
 	d.stopping.Store(true)
-	d.admission.Leave()
 	d.callerServer.CloseAfterAnswers()
-	time.Sleep(d.config.Notice.Duration())
+	// The backend server goes on: its slots are used until shortly before the end
+	// of the notice.
+	leave := min(leaveLead, d.config.Notice/2)
+	time.Sleep((d.config.Notice - leave).Duration())
+	d.admission.Leave()
+	time.Sleep(leave.Duration())
 	// Callers that stay would lose what they send from now on at the exit.
 	d.callerServer.StopAccepting()
 	d.ingress.Drain()
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -312,7 +312,7 @@
 	a.step(now, admitter.Limits{
 		Version: snapshot.Version, MaxInFlight: a.limit, MaxQueue: queuePerSlot * slots,
 		// A cold backend server is limited by its rate, not by its slots.
-		ColdLimit: slots, RampCompletions: 1, MaxTimeout: maxRunTime,
+		ColdLimit: slots + 1, RampCompletions: 1, MaxTimeout: maxRunTime,
 	})
 	a.step(now, admitter.Contact{Alone: true})
 	a.step(now, admitter.DomainState{Out: snapshot.IsOut(a.config.Member.FailureDomain), RampShare: restoredDomain})
