--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -108,6 +108,7 @@
 	"overloaded":    "the wait for a slot would have been too long",
 	"cold":          "backend servers were in cold start and took no more",
 	"slowed":        "VMs had turned slow",
+	"too_slow":      "a run would not have ended in the time left",
 	"draining":      "a daemon or backend server was leaving",
 	"deadline":      "the caller's time or the route's timeout ended",
 	"caller_gone":   "the caller hung up",
--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -48,6 +48,8 @@
 	ReasonUnavailable Reason = "unavailable"
 	// ReasonSenderBehind means that the sender's configuration is too old.
 	ReasonSenderBehind Reason = "sender_behind"
+	// ReasonTooSlow means that a run is not expected to end in the time left.
+	ReasonTooSlow Reason = "too_slow"
 	// ReasonSlowed means that the VM is much slower than the sender assumed.
 	ReasonSlowed Reason = "slowed"
 )
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -193,6 +193,10 @@
 		r.decided <- refuse(encoder.ReasonQuarantined, left)
 		return
 	}
+	if a.hopeless(r) {
+		r.decided <- refuse(encoder.ReasonTooSlow, tooSlowRetry)
+		return
+	}
 	a.runs[r.Attempt.ID] = r
 	a.step(now, admitter.Arrive{
 		Attempt: r.Attempt.ID, Remaining: r.Attempt.Remaining,
@@ -215,6 +219,21 @@
 	return max(1, min(u.MaxWait, u.TargetLeft-expected))
 }
 
+const (
+	// hopelessFactor is how much longer than the time left a run has to be expected
+	// to take for it not to be started; half of the runs are shorter than expected.
+	hopelessFactor = 1.2
+	// tooSlowRetry is about the time in which a shared host changes its speed.
+	tooSlowRetry = 250 * timer.Millis(1)
+)
+
+// hopeless reports whether a run is not expected to end while its caller waits. It
+// would hold a slot and its caller for nothing. The caller holds the lock.
+func (a *Admission) hopeless(r *Run) bool {
+	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
+	return float64(expected) > hopelessFactor*float64(r.Attempt.Remaining)
+}
+
 // unavailableRetry is about the time in which a backend server is back or its
 // loss is known to all daemons.
 const unavailableRetry = 500 * timer.Millis(1)
