Keep headers of a backend server's connection from callers, and answer what was read before a stop

The hop headers of answers are removed, the last answer closes only when no request was read behind it, and the drain takes 150 ms.

--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -120,6 +120,7 @@
 		return unknown(admitter.Failed, encoder.ReasonIncomplete)
 	case Genuine:
 	}
+	removeHopHeaders(&r.Response.Header)
 	end := runEnd{result: admitter.OK, answered: true}
 	if r.Response.StatusCode() >= fasthttp.StatusInternalServerError {
 		end.result = admitter.Failed
@@ -127,6 +128,17 @@
 	return end
 }
 
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, "Proxy-Connection", fasthttp.HeaderUpgrade}
+
+// removeHopHeaders removes what an answer says of the backend server's connection.
+func removeHopHeaders(header *fasthttp.ResponseHeader) {
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	header.ResetConnectionClose()
+}
+
 // observe takes the load that came with an answer.
 func (a *Admission) observe(header *fasthttp.ResponseHeader) {
 	load, found := a.config.Dialect.Load(header)
--- a/internal/transport/exchanger/server_test.go
+++ b/internal/transport/exchanger/server_test.go
@@ -137,6 +137,25 @@
 		Eventually(server.CloseIdle).WithTimeout(patience).Should(BeZero())
 	})
 
+	It("guards against a planned stop that abandons pipelined requests that run", func() {
+		release := make(chan struct{})
+		server, address := startServer(func(x *exchanger.Exchange) {
+			<-release
+			echo(x)
+		})
+		c := dial(address)
+		c.send(get("/1") + get("/2") + get("/3"))
+		time.Sleep(20 * time.Millisecond)
+		server.CloseAfterAnswers()
+		close(release)
+		for n, want := range []string{"/1|", "/2|", "/3|"} {
+			response := c.answer()
+			Expect(string(response.Body())).To(Equal(want))
+			Expect(response.Header.ConnectionClose()).To(Equal(n == 2))
+		}
+		Expect(c.ended()).To(BeTrue())
+	})
+
 	It("guards against more requests read ahead than the bound", func() {
 		var running atomic.Int64
 		release := make(chan struct{})
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -21,8 +21,9 @@
 	// writeTimeout ends a connection whose caller does not read its answer.
 	writeTimeout = 5 * timer.Second
 	// lingerTimeout bounds the wait for the caller's end after the last answer.
-	// Closing with unread bytes resets a connection and may cost the answer.
-	lingerTimeout = timer.Second
+	// Closing with unread bytes resets a connection and may cost the answer; a
+	// request that crossed it must not be held for longer than a round trip or two.
+	lingerTimeout = 150 * timer.Millis(1)
 	writeBuffer   = 4 << 10
 )
 
@@ -70,7 +71,7 @@
 		last := x.Request.Header.ConnectionClose() || !x.Request.Header.IsHTTP11()
 		x.Close = last
 		if !c.push(x) {
-			return
+			break // It crossed the last answer and counts as unread.
 		}
 		go c.handle(x)
 		if last {
@@ -213,13 +214,14 @@
 	c.writing = true
 	for len(c.pending) > 0 && c.pending[0].done && !c.closed {
 		head := c.pending[0]
+		// Requests that were read behind it run already and are answered first.
+		last := head.Close || c.server.closing.Load() && len(c.pending) == 1 && !c.reading
+		c.closed = last
 		c.mu.Unlock()
-		last := !c.write(head)
+		written := c.write(head, last)
 		c.mu.Lock()
 		c.pending = c.pending[1:]
-		if last {
-			c.closed = true
-		}
+		c.closed = c.closed || !written
 		if len(c.pending) > 0 && !c.closed {
 			c.pending[0].giveTurn()
 		}
@@ -231,10 +233,9 @@
 	}
 }
 
-// write sends an answer and reports whether the connection may go on.
-func (c *serverConn) write(x *Exchange) bool {
-	closing := x.Close || c.server.closing.Load()
-	if closing {
+// write sends an answer, the last one if so told, and reports whether it could.
+func (c *serverConn) write(x *Exchange, last bool) bool {
+	if last {
 		x.Response.SetConnectionClose()
 	}
 	x.Response.Header.SetNoDefaultContentType(true)
@@ -251,14 +252,14 @@
 		_ = c.conn.Close() // The reader ends with it.
 		return false
 	}
-	if !closing {
+	if !last {
 		return true
 	}
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // The caller sees the end; a failed connection ends anyway.
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration()))
-	return false
+	return true
 }
 
 // abandon tells the requests behind the last answer that nobody waits for them.
