--- a/internal/transport/exchanger/server_test.go
+++ b/internal/transport/exchanger/server_test.go
@@ -156,6 +156,16 @@
 		Expect(c.ended()).To(BeTrue())
 	})
 
+	It("guards against a connection that stays open after its idle timeout and loses what is sent on it", func() {
+		_, address := startServer(echo)
+		c := dial(address)
+		c.send(get("/"))
+		c.answer()
+		started := time.Now()
+		Expect(c.ended()).To(BeTrue())
+		Expect(time.Since(started)).To(BeNumerically("~", 2*time.Second, time.Second))
+	})
+
 	It("guards against more requests read ahead than the bound", func() {
 		var running atomic.Int64
 		release := make(chan struct{})
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -59,7 +59,13 @@
 // run reads requests until the connection ends.
 func (c *serverConn) run() {
 	defer c.end()
-	for c.awaitRequest() {
+	for {
+		if !c.awaitRequest() {
+			if !c.isClosed() {
+				return // The caller ended it, or it was idle for too long.
+			}
+			break
+		}
 		x := &Exchange{conn: c, turn: closedTurn}
 		if problem, ok := c.read(x); !ok {
 			if problem != nil {
@@ -104,6 +110,13 @@
 	return !c.closed
 }
 
+// isClosed reports whether the last answer was written or is being written.
+func (c *serverConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *serverConn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -277,9 +290,7 @@
 // drain discards what comes after the last request, until the caller's end.
 func (c *serverConn) drain() {
 	for {
-		c.mu.Lock()
-		closed := c.closed
-		c.mu.Unlock()
+		closed := c.isClosed()
 		if !closed {
 			c.setReadTimeout(c.limits.IdleTimeout)
 		}
