--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -128,8 +128,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
-	if attempt.Version > a.applied {
-		a.refresh(now)
+	if max(attempt.Version, a.config.Configuration.View().Version) > a.applied {
+		a.refresh(now) // The next tick would be too late for this attempt.
 	}
 	switch a.fencer.Arrive(now, attempt.ID) {
 	case fencer.Fenced:
