Remove code that nothing used, and compute the expected run once

Admission's drain, its time of last use and the solo flag of a decision had no reader; the expected time of a run was computed twice for each attempt; the server listed its connections in two places. No behaviour changes. Specs of exchanger and platform pass with -race.

--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -81,14 +81,12 @@
 	warmth   warmth
 	load     BackendLoad
 	loadAt   timer.Millis
-	usedAt   timer.Millis
 	revision uint64
 	// limit is the number of runs at a time that the admitter was given.
 	limit   int
 	checkAt timer.Millis
 	// checked is closed when the health check under way ends; nil without one.
 	checked chan struct{}
-	drained chan struct{}
 }
 
 // NewAdmission returns an admission without a backend server.
@@ -104,7 +102,6 @@
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		estimator:   estimator.New(),
 		runs:        map[identifier.AttemptID]*Run{},
-		drained:     make(chan struct{}),
 	}
 }
 
@@ -183,7 +180,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
-	a.usedAt = now
 	if a.down {
 		r.decided <- refuse(encoder.ReasonUnavailable, unavailableRetry)
 		return
@@ -193,7 +189,8 @@
 		r.decided <- refuse(encoder.ReasonQuarantined, left)
 		return
 	}
-	if a.hopeless(r) {
+	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
+	if hopeless(expected, r.Attempt.Remaining) {
 		r.decided <- refuse(encoder.ReasonTooSlow, tooSlowRetry)
 		return
 	}
@@ -202,17 +199,15 @@
 		Attempt: r.Attempt.ID, Remaining: r.Attempt.Remaining,
 		Fingerprint: r.fingerprint, HasFingerprint: true,
 		Solo:     r.Attempt.Solo || verdict == quarantiner.RunSolo,
-		Priority: r.Attempt.Urgency.Priority, MaxWait: a.maxWait(r),
+		Priority: r.Attempt.Urgency.Priority, MaxWait: waitFor(r.Attempt.Urgency, expected),
 	})
 	a.config.Changed()
 }
 
-// maxWait bounds the wait for a start. A run that is expected to end after the
+// waitFor bounds the wait for a start. A run that is expected to end after the
 // target is worth little, so an attempt waits only while it may end before it; one
-// that cannot starts at once or not at all. The caller holds the lock.
-func (a *Admission) maxWait(r *Run) timer.Millis {
-	u := r.Attempt.Urgency
-	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
+// that cannot starts at once or not at all.
+func waitFor(u encoder.Urgency, expected timer.Millis) timer.Millis {
 	if u.TargetLeft <= 0 || expected <= 0 {
 		return u.MaxWait
 	}
@@ -228,10 +223,9 @@
 )
 
 // hopeless reports whether a run is not expected to end while its caller waits. It
-// would hold a slot and its caller for nothing. The caller holds the lock.
-func (a *Admission) hopeless(r *Run) bool {
-	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
-	return float64(expected) > hopelessFactor*float64(r.Attempt.Remaining)
+// would hold a slot and its caller for nothing.
+func hopeless(expected, left timer.Millis) bool {
+	return float64(expected) > hopelessFactor*float64(left)
 }
 
 // unavailableRetry is about the time in which a backend server is back or its
@@ -249,15 +243,14 @@
 	for _, action := range a.admitter.Step(now, event, buffer[:0]) {
 		switch act := action.(type) {
 		case admitter.Start:
-			a.decide(act.Attempt, decision{start: true, solo: act.Solo, remaining: act.Remaining})
+			a.decide(act.Attempt, decision{start: true, remaining: act.Remaining})
 		case admitter.Refuse:
 			a.decide(act.Attempt, refuse(encoder.Reason(act.Reason), act.RetryAfter))
 		case admitter.Lost:
 			a.lost(now, act)
 		case admitter.Recheck:
 			a.recheck(now)
-		case admitter.Drained:
-			a.finishDrain()
+		case admitter.Drained: // A backend server that leaves ends by itself.
 		}
 	}
 }
@@ -378,15 +371,6 @@
 	return a.backend
 }
 
-// Drain refuses new attempts and returns a channel that is closed when nothing
-// runs any more.
-func (a *Admission) Drain() <-chan struct{} {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.step(a.config.Clock.Now(), admitter.Drain{})
-	return a.drained
-}
-
 // Leave tells other daemons to send no more attempts; those that come still run.
 func (a *Admission) Leave() {
 	a.mu.Lock()
@@ -395,14 +379,6 @@
 	a.config.Changed()
 }
 
-func (a *Admission) finishDrain() {
-	select {
-	case <-a.drained:
-	default:
-		close(a.drained)
-	}
-}
-
 // Member describes this daemon for others; accepting says whether it takes
 // attempts. Each call has a later revision.
 func (a *Admission) Member() (m registrar.Member, accepting bool) {
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -36,7 +36,6 @@
 // decision is admission's answer to an attempt.
 type decision struct {
 	start     bool
-	solo      bool
 	remaining timer.Millis
 	refusal   encoder.Refusal
 }
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -25,7 +25,8 @@
 	// keepAliveMargin is taken off the idle timeout that a destination states in
 	// whole seconds.
 	keepAliveMargin = timer.Second
-	statusContinue  = 200
+	// firstFinal is the first status that is not interim.
+	firstFinal = 200
 )
 
 // connection carries one request at a time.
@@ -139,7 +140,7 @@
 		if err := header.Read(c.reader); err != nil {
 			return c.failed(err, false, Incomplete)
 		}
-		if header.StatusCode() >= statusContinue {
+		if header.StatusCode() >= firstFinal {
 			break
 		}
 	}
--- a/internal/transport/exchanger/server.go
+++ b/internal/transport/exchanger/server.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -103,14 +105,8 @@
 // CloseIdle closes the connections on which no request waits for an answer and
 // returns the number of the others.
 func (s *Server) CloseIdle() int {
-	s.mu.Lock()
-	conns := make([]*serverConn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	s.mu.Unlock()
 	busy := 0
-	for _, c := range conns {
+	for _, c := range s.open() {
 		if !c.closeIdle() {
 			busy++
 		}
@@ -132,13 +128,15 @@
 // Close stops accepting and closes every connection.
 func (s *Server) Close() {
 	s.StopAccepting()
-	s.mu.Lock()
-	conns := make([]*serverConn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	s.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range s.open() {
 		c.end()
 	}
 }
+
+// open returns the connections of the moment. They are closed without the
+// server's lock, which their end takes.
+func (s *Server) open() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
