Tell the senders of attempts of load changes in large fleets

Cause: Gossiper.Used was never called, so in a fleet of more than 32 members the pulses of an instance went to random members only, while docs/PLATFORM.md says that its users hear each load change. Ruled out: a wrong test of the incarnation in targets; the map of users was always empty.

Admission now notes the sender of each attempt for this instance. At most 32 users hear a change, so that the cost does not grow with the fleet.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -124,7 +124,7 @@
 			Peer: config.Addresses.Peers, Report: config.Addresses.Reports, Service: config.Service,
 		},
 		Address: config.Addresses.Backend, Clock: clock, Configuration: d.configuration, Dialect: config.Dialect,
-		Changed: d.changed, Spread: d.spread, Logger: config.Logger,
+		Changed: d.changed, Used: d.used, Spread: d.spread, Logger: config.Logger,
 	})
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -9,6 +9,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -83,4 +84,6 @@
 	d.gossiper.Learn(members)
 }
 
+func (d *Daemon) used(sender identifier.Incarnation) { d.gossiper.Used(sender) }
+
 func (d *Daemon) spread(entries []quarantiner.Entry) { d.gossiper.Spread(entries) }
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -47,6 +47,9 @@
 	smallFleet = 32
 	// sample is the number of random members that get a report in a large fleet.
 	sample = 6
+	// maxUsers bounds the members that hear of each load change, so that the cost
+	// does not grow with the fleet. The others learn the load from their answers.
+	maxUsers = smallFleet
 	// usedWithin is how long a member that sent an attempt counts as a user.
 	usedWithin = 2 * timer.Second
 	// repeats is how often a quarantine entry is sent, against lost reports.
@@ -320,6 +323,10 @@
 			addresses = append(addresses, m.Report)
 		}
 	}
+	if len(addresses) > maxUsers {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:maxUsers]
+	}
 	if due {
 		for range sample {
 			addresses = append(addresses, members[rand.IntN(len(members))].Report)
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -56,6 +56,8 @@
 	Dialect       Dialect
 	// Changed is called when the load or state has changed. It must not block.
 	Changed func()
+	// Used is called with the daemon that sent an attempt. It must not block.
+	Used func(sender identifier.Incarnation)
 	// Spread sends quarantine entries to the other daemons of the service.
 	Spread func(entries []quarantiner.Entry)
 	Logger *slog.Logger
@@ -123,6 +125,7 @@
 		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonUnavailable, RetryAfterMs: unavailableRetry}.Fill(&x.Response)
 		return
 	}
+	a.config.Used(attempt.ID.Origin)
 	run := NewRun(attempt, &x.Request, &x.Response)
 	x.OnGone(func() { a.Cancel(run) })
 	if refusal, answered := a.Execute(run); !answered {
