Clear a suspect request when it ran alone and did no harm

Cause: admission told the quarantiner of every end of a run without saying that the run was alone, so that no suspect was ever cleared: after one crash of a backend server each request that ran at the time was run alone on every daemon of its service for five minutes. Ruled out: the quarantiner, whose own tests clear suspects.

--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -246,7 +246,7 @@
 	for _, action := range a.admitter.Step(now, event, buffer[:0]) {
 		switch act := action.(type) {
 		case admitter.Start:
-			a.decide(act.Attempt, decision{start: true, remaining: act.Remaining})
+			a.decide(act.Attempt, decision{start: true, solo: act.Solo, remaining: act.Remaining})
 		case admitter.Refuse:
 			a.decide(act.Attempt, refuse(encoder.Reason(act.Reason), act.RetryAfter))
 		case admitter.Lost:
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -18,7 +18,7 @@
 // forward runs a started attempt on the backend server.
 func (a *Admission) forward(r *Run, d decision, record runEndRecord) (encoder.Refusal, bool) {
 	if a.slowed(r.Attempt.Urgency.Slowdown) {
-		a.finish(r, admitter.Shed, 0)
+		a.finish(r, d, admitter.Shed, 0)
 		record.reason, record.load = encoder.ReasonSlowed, a.Load()
 		a.observer.ran(record)
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonSlowed}, false
@@ -33,7 +33,7 @@
 	if end.answered && end.result == admitter.OK {
 		a.learn(r, before, latency)
 	}
-	a.finish(r, end.result, latency)
+	a.finish(r, d, end.result, latency)
 	record.started, record.result, record.reason = true, end.result, end.refusal.Reason
 	record.ran, record.reused, record.status = latency, reused, r.Response.StatusCode()
 	a.observer.ran(record)
@@ -163,12 +163,12 @@
 	a.config.Changed()
 }
 
-func (a *Admission) finish(r *Run, result admitter.Result, latency timer.Millis) {
+func (a *Admission) finish(r *Run, d decision, result admitter.Result, latency timer.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
 	a.quarantine(now, quarantiner.Complete{
-		Fingerprint: r.fingerprint, Good: result == admitter.OK || result == admitter.Failed,
+		Fingerprint: r.fingerprint, Solo: d.solo, Good: result == admitter.OK || result == admitter.Failed,
 	})
 	a.step(now, admitter.Complete{Attempt: r.Attempt.ID, Result: result, Latency: latency})
 	a.config.Changed()
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -35,7 +35,9 @@
 
 // decision is admission's answer to an attempt.
 type decision struct {
-	start     bool
+	start bool
+	// solo says that nothing else runs beside the attempt.
+	solo      bool
 	remaining timer.Millis
 	refusal   encoder.Refusal
 }
