--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -79,7 +79,7 @@
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval.Duration())
 	defer ticker.Stop()
-	last := d.clock.Now()
+	last, members := d.clock.Now(), uint64(0)
 	for ctx.Err() == nil {
 		now := d.clock.Resync()
 		if now-last > suspended {
@@ -88,11 +88,24 @@
 			d.config.Source.Refresh()
 		}
 		last = now
+		if version := d.gossiper.Version(); version != members {
+			members = version
+			d.keepPeers()
+		}
 		d.admission.Tick()
 		<-ticker.C
 	}
 }
 
+// keepPeers closes the connections to daemons that are no longer members.
+func (d *Daemon) keepPeers() {
+	known := map[identifier.Address]bool{}
+	for _, m := range d.gossiper.Members() {
+		known[m.Peer] = true
+	}
+	d.peers.Keep(func(address identifier.Address) bool { return known[address] })
+}
+
 // suspended is the gap between ticks that means the VM was suspended and its
 // connections may be gone.
 const suspended = 700 * timer.Millis(1)
--- /dev/null
+++ b/internal/transport/dispatcher/peers_test.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Guards against connections to lost members that stay open, and against those to
+// members that are closed with them.
+func TestKeepClosesConnectionsToLostMembers(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := exchanger.NewServer(exchanger.ServerConfig{
+		Handler: exchanger.HandlerFunc(func(*exchanger.Exchange) {}), Clock: timer.NewBoot(),
+		Limits: func() exchanger.Limits {
+			return exchanger.Limits{HeaderBytes: 1 << 12, BodyBytes: 1, HeaderTimeout: timer.Second, IdleTimeout: timer.Second}
+		},
+	})
+	go func() { _ = server.Serve(listener) }() // Ends with Close.
+	defer server.Close()
+	address := identifier.Address(listener.Addr().String())
+	peers := NewPeers()
+	reused := func() bool {
+		call := &exchanger.Call{
+			Request: &fasthttp.Request{}, Response: &fasthttp.Response{},
+			Deadline: time.Now().Add(time.Second), ReuseWithin: timer.Second,
+		}
+		call.Request.SetRequestURI("http://" + string(address) + "/")
+		if result := peers.Pool(address).Do(call); result != exchanger.Answered {
+			t.Fatalf("result %v", result)
+		}
+		return call.Reused
+	}
+	cases := []struct {
+		name   string
+		member bool
+		reused bool
+	}{
+		{"a member's connection is kept", true, true},
+		{"a lost member's is not", false, false},
+	}
+	reused()
+	for _, c := range cases {
+		peers.Keep(func(identifier.Address) bool { return c.member })
+		if got := reused(); got != c.reused {
+			t.Errorf("%s: reused %v", c.name, got)
+		}
+	}
+}
