--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -67,7 +67,7 @@
 	RequestID(header *fasthttp.RequestHeader) []byte
 	// TimeLeft returns how long the caller waits, or false if it does not say.
 	TimeLeft(header *fasthttp.RequestHeader) (timer.Millis, bool)
-	// Accept removes what callers may not set and names the calling service.
+	// Accept removes headers that callers may not set and names the calling service.
 	Accept(header *fasthttp.RequestHeader, caller identifier.ServiceName)
 	// Address names the backend server that may run the request and the time it
 	// has.
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -128,17 +128,6 @@
 	return end
 }
 
-// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, "Proxy-Connection", fasthttp.HeaderUpgrade}
-
-// removeHopHeaders removes what an answer says of the backend server's connection.
-func removeHopHeaders(header *fasthttp.ResponseHeader) {
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	header.ResetConnectionClose()
-}
-
 // observe takes the load that came with an answer.
 func (a *Admission) observe(header *fasthttp.ResponseHeader) {
 	load, found := a.config.Dialect.Load(header)
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -158,6 +158,7 @@
 ) (encoder.Refusal, bool) {
 	header := &x.Request.Header
 	service := i.splitter.Pick(route)
+	removeHopHeaders(header)
 	i.config.Dialect.Accept(header, i.config.Caller)
 	now := i.config.Clock.Now()
 	fleet := i.fleet(now, service)
