Close the socket for reports before a daemon has ended

Ruled out: addresses shared by two fleets; the address was that of the restarted VM. Run now waits for the end of the gossiper.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -59,8 +59,13 @@
 		go func() { failed <- s.server.Serve(listener) }()
 	}
 	work, cancel := context.WithCancel(context.Background())
+	silent := make(chan struct{})
+	defer func() { <-silent }() // A daemon that starts next needs the address.
 	defer cancel()
-	go d.gossiper.Run(work)
+	go func() {
+		defer close(silent)
+		d.gossiper.Run(work)
+	}()
 	go d.config.Source.Follow(work, d.adopt)
 	go d.join(work)
 	go d.tick(work)
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -119,10 +119,11 @@
 	}, nil
 }
 
-// Run exchanges reports until the context ends.
+// Run exchanges reports until the context ends, and closes the socket.
 func (g *Gossiper) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() }) // The reader ends with it.
 	defer stop()
+	defer g.conn.Close()
 	go g.read()
 	ticker := time.NewTimer(0)
 	defer ticker.Stop()
