Play each kind of failed request and check that the logs explain it

Eleven kinds and a hang-up run on a fleet of the stand-ins; explain has to tell the cause from the lines alone.

The spec of a VM that has just turned slow failed twice beside other work. Its story shows why: the check before the start was not answered within its 10 ms, and the start went on as it is meant to.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -76,7 +76,9 @@
 	// Grace is the time from the request to stop until the process is killed.
 	Grace timer.Millis
 	// Notice is the time in which callers see that the daemon is not ready.
-	Notice    timer.Millis
+	Notice timer.Millis
+	// LoadCheck is how long a start waits for a check of the load.
+	LoadCheck timer.Millis
 	Dialect   dispatcher.Dialect
 	Source    Source
 	Directory Directory
@@ -120,7 +122,7 @@
 			Peer: config.Addresses.Peers, Report: config.Addresses.Reports, Service: config.Service,
 		},
 		Address: config.Addresses.Backend, Clock: clock, Configuration: d.configuration, Dialect: config.Dialect,
-		Changed: d.changed, Used: d.used, Spread: d.spread, Logger: config.Logger,
+		LoadCheck: config.LoadCheck, Changed: d.changed, Used: d.used, Spread: d.spread, Logger: config.Logger,
 	})
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -120,6 +120,16 @@
 	"no_service":    "no route matched",
 	"sender_behind": "the daemon's configuration was too old",
 	"quarantined":   "requests like it crashed backend servers",
+
+	"not_configured":    "the daemon had no configuration yet",
+	"connection_broken": "a connection broke",
+	"incomplete_answer": "the answer broke off or was not the backend server's own",
+	"bad_request":       "the request could not be read",
+	"too_large":         "the body was above the limit",
+	"header_too_large":  "the header was above the limit",
+	"config_behind":     "the instance had an older configuration than the sender",
+	"isolated":          "the daemon beside the instance had lost its peers",
+	"canceled":          "the sender gave the attempt up",
 }
 
 // conclude says how the request ended.
--- a/internal/protocol/encoder/outcome.go
+++ b/internal/protocol/encoder/outcome.go
@@ -33,6 +33,7 @@
 	ReasonNoOwner        Reason = "key_owner_unavailable"
 	ReasonConnection     Reason = "connection_broken"
 	ReasonDeadline       Reason = "deadline"
+	ReasonCanceled       Reason = "canceled"
 	ReasonIncomplete     Reason = "incomplete_answer"
 	ReasonFenced         Reason = "fenced"
 	ReasonDraining       Reason = "draining"
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -54,6 +54,9 @@
 	Clock         timer.Clock
 	Configuration *router.Holder
 	Dialect       Dialect
+	// LoadCheck is how long a start waits for a check of a load that is not known
+	// well enough.
+	LoadCheck timer.Millis
 	// Changed is called when the load or state has changed. It must not block.
 	Changed func()
 	// Used is called with the daemon that sent an attempt. It must not block.
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -40,6 +40,8 @@
 	call     *exchanger.Call // Nil for the own instance.
 	run      *Run            // Nil for others.
 	response *fasthttp.Response
+	// reason says for the log why no whole answer came.
+	reason encoder.Reason
 }
 
 // ended is the end of an attempt.
@@ -239,6 +241,7 @@
 		e.request.fleet.eject(e.now(), a.member.Node)
 		e.ended(a, retrier.NotRun{Attempt: a.number, Reason: retrier.Reason(encoder.ReasonConnection)}, latency, selector.NotRun)
 	case exchanger.Broken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
+		a.reason = reasonOf(result)
 		if result == exchanger.Broken {
 			e.request.fleet.eject(e.now(), a.member.Node)
 		}
@@ -246,6 +249,20 @@
 	}
 }
 
+// reasonOf names the end of a call that may have run.
+func reasonOf(result exchanger.Result) encoder.Reason {
+	switch result {
+	case exchanger.Incomplete:
+		return encoder.ReasonIncomplete
+	case exchanger.TimedOut:
+		return encoder.ReasonDeadline
+	case exchanger.Aborted:
+		return encoder.ReasonCanceled
+	case exchanger.Answered, exchanger.NotSent, exchanger.Refused, exchanger.Broken:
+	}
+	return encoder.ReasonConnection
+}
+
 // answered handles a whole answer of another daemon.
 func (e *exchange) answered(a *attempt, latency time.Duration) {
 	header := &a.response.Header
@@ -262,6 +279,7 @@
 }
 
 func (e *exchange) refused(a *attempt, refusal encoder.Refusal, latency time.Duration) {
+	a.reason = refusal.Reason
 	if refusal.Outcome != encoder.NotRun {
 		e.ended(a, retrier.Unknown{Attempt: a.number}, latency, selector.Unknown)
 		return
@@ -288,7 +306,7 @@
 	case retrier.NotRun:
 		end.result, end.reason = resultNotRun, string(ev.Reason)
 	case retrier.Unknown:
-		end.result = resultUnknown
+		end.result, end.reason = resultUnknown, string(a.reason)
 	}
 	e.ingress.observer.attempted(end)
 }
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -35,7 +35,10 @@
 	}
 	a.finish(r, d, end.result, latency)
 	record.started, record.result, record.reason = true, end.result, end.refusal.Reason
-	record.ran, record.reused, record.status = latency, reused, r.Response.StatusCode()
+	record.ran, record.reused = latency, reused
+	if end.answered {
+		record.status = r.Response.StatusCode()
+	}
 	a.observer.ran(record)
 	return end.refusal, end.answered
 }
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -26,8 +26,6 @@
 	// hosts change every half second, so that about one start in twenty meets
 	// another slowdown than the one known.
 	freshLoad = 40 * timer.Millis(1)
-	// freshWait bounds the wait for a check before a start.
-	freshWait = 10 * timer.Millis(1)
 	// slowedFactor is how much slower than assumed a VM has to be for an attempt
 	// to be sent back; asking another daemon costs a round trip.
 	slowedFactor = 2
@@ -149,7 +147,7 @@
 	old := a.config.Clock.Now()-a.loadAt > freshLoad
 	a.mu.Unlock()
 	if old {
-		timeout := time.NewTimer(freshWait.Duration())
+		timeout := time.NewTimer(a.config.LoadCheck.Duration())
 		defer timeout.Stop()
 		select {
 		case <-a.startCheck():
