--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -196,7 +196,7 @@
 		return
 	}
 	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
-	if hopeless(expected, r.Attempt.Remaining) {
+	if estimator.Hopeless(expected, r.Attempt.Remaining) {
 		r.decided <- refuse(encoder.ReasonTooSlow, tooSlowRetry)
 		return
 	}
@@ -205,34 +205,13 @@
 		Attempt: r.Attempt.ID, Remaining: r.Attempt.Remaining,
 		Fingerprint: r.fingerprint, HasFingerprint: true,
 		Solo:     r.Attempt.Solo || verdict == quarantiner.RunSolo,
-		Priority: r.Attempt.Urgency.Priority, MaxWait: waitFor(r.Attempt.Urgency, expected),
+		Priority: r.Attempt.Urgency.Priority, MaxWait: estimator.WaitFor(r.Attempt.Urgency.MaxWait, r.Attempt.Urgency.TargetLeft, expected),
 	})
 	a.config.Changed()
 }
 
-// waitFor bounds the wait for a start. A run that is expected to end after the
-// target is worth little, so an attempt waits only while it may end before it; one
-// that cannot starts at once or not at all.
-func waitFor(u encoder.Urgency, expected timer.Millis) timer.Millis {
-	if u.TargetLeft <= 0 || expected <= 0 {
-		return u.MaxWait
-	}
-	return max(1, min(u.MaxWait, u.TargetLeft-expected))
-}
-
-const (
-	// hopelessFactor is how much longer than the time left a run has to be expected
-	// to take for it not to be started; half of the runs are shorter than expected.
-	hopelessFactor = 1.2
-	// tooSlowRetry is about the time in which a shared host changes its speed.
-	tooSlowRetry = 250 * timer.Millis(1)
-)
-
-// hopeless reports whether a run is not expected to end while its caller waits. It
-// would hold a slot and its caller for nothing.
-func hopeless(expected, left timer.Millis) bool {
-	return float64(expected) > hopelessFactor*float64(left)
-}
+// tooSlowRetry is about the time in which a shared host changes its speed.
+const tooSlowRetry = 250 * timer.Millis(1)
 
 // unavailableRetry is about the time in which a backend server is back or its
 // loss is known to all daemons.
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -26,9 +27,6 @@
 	// hosts change every half second, so that about one start in twenty meets
 	// another slowdown than the one known.
 	freshLoad = 40 * timer.Millis(1)
-	// slowedFactor is how much slower than assumed a VM has to be for an attempt
-	// to be sent back; asking another daemon costs a round trip.
-	slowedFactor = 2
 	// slowPercent is the slowdown from which a VM counts as slow.
 	slowPercent = 150
 	// crashCheckDelay lets the sockets of a dying process close before the check.
@@ -156,5 +154,5 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int32(a.load.SlowdownPercent) >= slowedFactor*assumed
+	return estimator.Slowed(assumed, int32(a.load.SlowdownPercent))
 }
