--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -97,7 +97,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDaemonCommand(), newPlatformCommand(), newSheetCommand(), newStatusCommand(), newAuditCommand(), newTokenCommand(), newExplainCommand(), newVersionCommand())
+	root.AddCommand(newDaemonCommand(), newPlatformCommand(), newSheetCommand(), newStatusCommand(), newAuditCommand(), newTokenCommand(), newExplainCommand(), newSimulateCommand(), newVersionCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/commander/simulate.go
@@ -0,0 +1,42 @@
+package commander
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/simulator"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+func newSimulateCommand() *cobra.Command {
+	var name string
+	var seed uint64
+	var seconds int
+	cmd := &cobra.Command{
+		Use:   "simulate",
+		Short: "Compare placing, queueing and refusing on the loads of heavy days, without a network",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			fmt.Fprintln(cmd.OutOrStdout(), simulator.Header)
+			for _, load := range simulator.Standard() {
+				if name != "" && load.Name != name {
+					continue
+				}
+				load.Seed, load.Duration = seed, timer.Millis(seconds)*timer.Second
+				for _, policies := range append([]simulator.Policies{simulator.Current()}, simulator.Alternatives()...) {
+					report, err := simulator.Run(load, policies)
+					if err != nil {
+						return err
+					}
+					fmt.Fprintln(cmd.OutOrStdout(), report)
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&name, "load", "", "only the load of this name: busy, overload, noisy or restart")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of arrivals, work and noise")
+	cmd.Flags().IntVar(&seconds, "seconds", 30, "length of the load")
+	return cmd
+}
--- a/internal/simulator/sender.go
+++ b/internal/simulator/sender.go
@@ -28,13 +28,12 @@
 
 // request is one arrival of a caller.
 type request struct {
-	sender   *sender
-	caller   *caller
-	arrived  timer.Millis
-	machine  *retrier.Retrier
-	attempts []*attempt
-	tried    []identifier.InstanceID
-	ended    bool
+	sender  *sender
+	caller  *caller
+	arrived timer.Millis
+	machine *retrier.Retrier
+	tried   []identifier.InstanceID
+	ended   bool
 }
 
 // maxAttempts is what both deployments' routes allow.
