Reset a connection whose request was given up

Cause: an aborted or timed out call closed its connection in order, so that a network that was cut delivered the request later, when the cut ended.

--- a/internal/transport/exchanger/call.go
+++ b/internal/transport/exchanger/call.go
@@ -57,7 +57,7 @@
 	defer c.mu.Unlock()
 	c.aborted = true
 	if c.conn != nil {
-		_ = c.conn.Close() // The call reports Aborted.
+		c.conn.abort()
 	}
 }
 
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -58,6 +58,15 @@
 	return c.reader.Buffered() > 0 || PeerClosed(c.raw)
 }
 
+// abort closes the connection with a reset. A plain close would leave it to the
+// network to deliver the request later, when a cut has ended.
+func (c *connection) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only on a closed connection.
+	}
+	_ = c.Close() // It may be closed already.
+}
+
 // do writes a request and reads its answer.
 func (c *connection) do(call *Call) Result {
 	_ = c.SetDeadline(call.Deadline) // Fails only on a closed connection, as the write does.
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -87,13 +87,14 @@
 	}
 	result := conn.do(call)
 	if call.detach() {
-		_ = conn.Close() // Abort may have closed it already.
+		conn.abort() // Abort may have closed it already.
 		if result != Answered && result != NotSent {
 			return Aborted
 		}
 		return result
 	}
 	if result == TimedOut {
+		conn.abort()
 		p.CloseIdle() // Others may have gone silent with it.
 	}
 	p.release(conn, epoch)
