--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -134,12 +135,12 @@
 
 // reject answers a request that could not be read. Nothing was forwarded of it.
 func (d *Daemon) reject(response *fasthttp.Response, problem exchanger.Problem) {
-	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
 	switch problem {
 	case exchanger.BodyTooLarge:
-		refusal.Reason = encoder.ReasonTooLarge
+		refusal.Reason = classifier.TooLarge
 	case exchanger.HeaderTooLarge:
-		refusal.Reason = encoder.ReasonHeaderTooLarge
+		refusal.Reason = classifier.HeaderTooLarge
 	case exchanger.Malformed:
 	}
 	refusal.Fill(response)
--- a/internal/protocol/encoder/header.go
+++ b/internal/protocol/encoder/header.go
@@ -10,7 +10,7 @@
 //	var attempt encoder.Attempt
 //	err := attempt.Decode(&ctx.Request.Header)
 //	...
-//	encoder.Refusal{Outcome: encoder.NotRun, Reason: "draining"}.Write(ctx)
+//	encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining}.Write(ctx)
 package encoder
 
 // Headers that callers and backend servers see.
--- a/internal/protocol/encoder/refusal.go
+++ b/internal/protocol/encoder/refusal.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -14,9 +15,9 @@
 
 // Refusal is an answer that does not come from a backend server.
 type Refusal struct {
-	Outcome      Outcome      `json:"outcome"`
-	Reason       Reason       `json:"reason"`
-	RetryAfterMs timer.Millis `json:"retry_after_ms,omitempty"`
+	Outcome      Outcome           `json:"outcome"`
+	Reason       classifier.Reason `json:"reason"`
+	RetryAfterMs timer.Millis      `json:"retry_after_ms,omitempty"`
 }
 
 // Write sends the refusal as headers and a JSON body.
@@ -49,7 +50,7 @@
 		return false
 	}
 	r.Outcome = outcome
-	r.Reason = Reason(header.Peek(HeaderReason))
+	r.Reason = classifier.Reason(header.Peek(HeaderReason))
 	wait, err := strconv.ParseInt(string(header.Peek(HeaderRetryAfterMs)), 10, 64)
 	if err == nil && wait > 0 {
 		r.RetryAfterMs = timer.Millis(wait)
@@ -66,25 +67,25 @@
 // Status returns the HTTP status of the refusal.
 func (r Refusal) Status() int {
 	switch r.Reason {
-	case ReasonBadRequest, ReasonKeyRequired:
+	case classifier.BadRequest, classifier.KeyRequired:
 		return fasthttp.StatusBadRequest
-	case ReasonTooLarge:
+	case classifier.TooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
-	case ReasonHeaderTooLarge:
+	case classifier.HeaderTooLarge:
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case ReasonNoService:
+	case classifier.NoService:
 		return fasthttp.StatusNotFound
-	case ReasonTooDeep:
+	case classifier.TooDeep:
 		return fasthttp.StatusLoopDetected
-	case ReasonKeyMismatch:
+	case classifier.KeyMismatch:
 		return fasthttp.StatusUnprocessableEntity
-	case ReasonKeyInProgress, ReasonKeyDone, ReasonOwnerLost:
+	case classifier.KeyInProgress, classifier.KeyDone, classifier.OwnerLost:
 		return fasthttp.StatusConflict
-	case ReasonTooManyRequest:
+	case classifier.TooManyRequest:
 		return fasthttp.StatusTooManyRequests
 	}
 	if r.Outcome == Unknown {
-		if r.Reason == ReasonDeadline {
+		if r.Reason == classifier.Deadline {
 			return fasthttp.StatusGatewayTimeout
 		}
 		return fasthttp.StatusBadGateway
--- a/internal/runner/harness_test.go
+++ b/internal/runner/harness_test.go
@@ -25,6 +25,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/loader"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/runner"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
 	"github.com/magnoliaknot/magnoliaknot/pkg/administrator"
@@ -292,7 +293,7 @@
 // answer is what a caller got.
 type answer struct {
 	outcome  encoder.Outcome
-	reason   encoder.Reason
+	reason   classifier.Reason
 	replayed bool
 	body     string
 }
@@ -313,7 +314,7 @@
 	}
 	return answer{
 		outcome: encoder.Outcome(response.Header.Peek(encoder.HeaderOutcome)),
-		reason:  encoder.Reason(response.Header.Peek(encoder.HeaderReason)), body: string(response.Body()),
+		reason:  classifier.Reason(response.Header.Peek(encoder.HeaderReason)), body: string(response.Body()),
 		replayed: len(response.Header.Peek(encoder.HeaderReplayed)) > 0,
 	}
 }
--- a/internal/state/admitter/action.go
+++ b/internal/state/admitter/action.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -20,7 +21,7 @@
 // ms of when another attempt here may be admitted.
 type Refuse struct {
 	Attempt    identifier.AttemptID
-	Reason     Reason
+	Reason     classifier.Reason
 	RetryAfter timer.Millis
 }
 
@@ -55,29 +56,3 @@
 	HasFingerprint bool
 	Solo           bool
 }
-
-// Reason says why an attempt was refused.
-type Reason string
-
-// Reasons of refusals.
-const (
-	// ReasonDraining means that the daemon or its backend server stops.
-	ReasonDraining Reason = "draining"
-	// ReasonDomainOut means that the failure domain is out of service.
-	ReasonDomainOut Reason = "domain_out"
-	// ReasonOverloaded means that the queue is full or the wait too long.
-	ReasonOverloaded Reason = "overloaded"
-	// ReasonDeadline means that the caller's time ended or nobody waits.
-	ReasonDeadline Reason = "deadline"
-	// ReasonIsolated means that neither the log nor a peer has been heard of.
-	ReasonIsolated Reason = "isolated"
-	// ReasonQuarantined means that the request crashes backend servers.
-	ReasonQuarantined Reason = "quarantined"
-	// ReasonConfigBehind means that the sender has a newer configuration.
-	ReasonConfigBehind Reason = "config_behind"
-	// ReasonCold is ReasonOverloaded while the cold limit is the lowest, or
-	// means that the backend server is starting.
-	ReasonCold Reason = "cold"
-	// ReasonUnavailable means that no backend server has announced itself.
-	ReasonUnavailable Reason = "unavailable"
-)
--- a/internal/state/admitter/admitter.go
+++ b/internal/state/admitter/admitter.go
@@ -31,6 +31,7 @@
 package admitter
 
 import (
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -102,7 +103,7 @@
 		}
 	case Cancel:
 		if i := a.queue.find(e.Attempt); i >= 0 {
-			actions = a.refuse(i, ReasonDeadline, actions)
+			actions = a.refuse(i, classifier.Deadline, actions)
 		}
 	case Restrict:
 		return a.flush(a.restrict(e, actions))
@@ -152,11 +153,11 @@
 	switch {
 	case reason != "":
 	case e.ConfigurationVersion > a.limits.Version:
-		reason = ReasonConfigBehind
+		reason = classifier.ConfigBehind
 	case remaining <= 0:
-		reason = ReasonDeadline
+		reason = classifier.Deadline
 	case e.Solo && a.queue.solos >= soloQueue:
-		reason = ReasonOverloaded
+		reason = classifier.Overloaded
 	}
 	if reason != "" {
 		actions = append(actions, Refuse{Attempt: e.Attempt, Reason: reason, RetryAfter: a.retryAfter(reason)})
--- a/internal/state/admitter/admitter_test.go
+++ b/internal/state/admitter/admitter_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -120,7 +121,7 @@
 		a.Step(now, arrive(1), nil)
 		a.Step(now, arrive(2), nil)
 		short := a.Step(now, admitter.Arrive{Attempt: id(3), Remaining: 150}, nil)
-		Expect(short).To(HaveExactElements(admitter.Refuse{Attempt: id(3), Reason: admitter.ReasonCold, RetryAfter: 200}))
+		Expect(short).To(HaveExactElements(admitter.Refuse{Attempt: id(3), Reason: classifier.Cold, RetryAfter: 200}))
 		Expect(a.Step(now, arrive(4), nil)).To(BeEmpty())
 	})
 	It("guards against attempts that run alone and starve, or starve others", func() {
--- a/internal/state/admitter/gate.go
+++ b/internal/state/admitter/gate.go
@@ -1,22 +1,26 @@
 package admitter
 
-import "github.com/magnoliaknot/magnoliaknot/pkg/timer"
+import (
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+)
 
 // closed returns why nothing may start or wait now, or an empty reason.
-func (a *Admitter) closed() Reason {
+func (a *Admitter) closed() classifier.Reason {
 	switch {
 	case a.draining():
-		return ReasonDraining
+		return classifier.Draining
 	case a.domainKnown && a.domain.Out:
-		return ReasonDomainOut
+		return classifier.DomainOut
 	case a.isolated():
-		return ReasonIsolated
+		return classifier.Isolated
 	case a.backend.state == Unannounced:
-		return ReasonUnavailable
+		return classifier.Unavailable
 	case !a.domainKnown || a.limits.Version == 0:
-		return ReasonConfigBehind
+		return classifier.ConfigBehind
 	case a.backend.state == Starting:
-		return ReasonCold
+		return classifier.Cold
 	default:
 		return ""
 	}
@@ -35,7 +39,7 @@
 		return actions
 	}
 	for i := a.queue.expired(a.now); i >= 0; i = a.queue.expired(a.now) {
-		reason := ReasonDeadline
+		reason := classifier.Deadline
 		if a.now < a.queue.entries[i].deadline {
 			reason = a.overload()
 		}
@@ -93,9 +97,9 @@
 			i++
 		case e.Refuse:
 			attempt := a.queue.remove(i).attempt
-			actions = append(actions, Refuse{Attempt: attempt, Reason: ReasonQuarantined, RetryAfter: max(1, e.TimeLeft)})
+			actions = append(actions, Refuse{Attempt: attempt, Reason: classifier.Quarantined, RetryAfter: max(1, e.TimeLeft)})
 		case e.Solo && !q.solo && a.queue.solos >= soloQueue:
-			actions = a.refuse(i, ReasonOverloaded, actions)
+			actions = a.refuse(i, classifier.Overloaded, actions)
 		default:
 			a.queue.setSolo(i, e.Solo)
 			i++
@@ -109,17 +113,17 @@
 const soloQueue = 4
 
 // refuse removes a queued attempt.
-func (a *Admitter) refuse(i int, reason Reason, actions []Action) []Action {
+func (a *Admitter) refuse(i int, reason classifier.Reason, actions []Action) []Action {
 	attempt := a.queue.remove(i).attempt
 	return append(actions, Refuse{Attempt: attempt, Reason: reason, RetryAfter: a.retryAfter(reason)})
 }
 
 // overload names the cause of a full queue or a long wait.
-func (a *Admitter) overload() Reason {
+func (a *Admitter) overload() classifier.Reason {
 	if a.ramp.cold && a.ramp.limit == a.limit() || !a.pace.allows(a.now) {
-		return ReasonCold
+		return classifier.Cold
 	}
-	return ReasonOverloaded
+	return classifier.Overloaded
 }
 
 // Estimates of when a refused attempt may return.
@@ -132,14 +136,14 @@
 	retryMinimum = 10 * timer.Millis(1)
 )
 
-func (a *Admitter) retryAfter(reason Reason) timer.Millis {
+func (a *Admitter) retryAfter(reason classifier.Reason) timer.Millis {
 	switch reason {
-	case ReasonOverloaded, ReasonDeadline, ReasonCold:
+	case classifier.Overloaded, classifier.Deadline, classifier.Cold:
 		if a.backend.state == Ready {
 			return max(retryMinimum, a.wait(a.queue.len()+1))
 		}
 		return retryElsewhere
-	case ReasonConfigBehind:
+	case classifier.ConfigBehind:
 		return retryConfig
 	default:
 		return retryElsewhere
--- a/internal/state/admitter/load.go
+++ b/internal/state/admitter/load.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -35,7 +36,7 @@
 	Slots       int
 	Version     identifier.Version
 	// Closed is why new attempts are refused, empty if they are not.
-	Closed Reason
+	Closed classifier.Reason
 	// Paused means that current DomainState is awaited after a pause.
 	Paused bool
 	// Predecessor counts requests that a previous daemon may have running.
--- a/internal/state/admitter/pace_test.go
+++ b/internal/state/admitter/pace_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -61,7 +62,7 @@
 		Expect(actions).To(HaveLen(1))
 		refused := actions[0].(admitter.Refuse)
 		Expect(refused.Attempt).To(Equal(numbered(1)))
-		Expect(refused.Reason).NotTo(Equal(admitter.ReasonDeadline), "its deadline has not passed")
+		Expect(refused.Reason).NotTo(Equal(classifier.Deadline), "its deadline has not passed")
 	})
 
 	It("guards against a daemon that starts anew within the second of its predecessor", func() {
--- a/internal/state/admitter/world_test.go
+++ b/internal/state/admitter/world_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -107,20 +108,20 @@
 func (w *world) draining() bool { return w.stopping || w.announced.State == admitter.Draining }
 
 // closed is why nothing may start.
-func (w *world) closed() admitter.Reason {
+func (w *world) closed() classifier.Reason {
 	switch {
 	case w.draining():
-		return admitter.ReasonDraining
+		return classifier.Draining
 	case w.domain.Out:
-		return admitter.ReasonDomainOut
+		return classifier.DomainOut
 	case w.contact == 0 || (!w.alone && w.now-w.contact >= 10*timer.Second):
-		return admitter.ReasonIsolated
+		return classifier.Isolated
 	case w.announced.State == admitter.Unannounced:
-		return admitter.ReasonUnavailable
+		return classifier.Unavailable
 	case !w.known:
-		return admitter.ReasonConfigBehind
+		return classifier.ConfigBehind
 	case w.announced.State == admitter.Starting:
-		return admitter.ReasonCold
+		return classifier.Cold
 	}
 	return ""
 }
@@ -136,9 +137,9 @@
 	arrival, _ := event.(admitter.Arrive)
 	own := arrival.Attempt == v.Attempt && !at.seen
 	if !own && at.deadline <= w.now {
-		want = admitter.ReasonDeadline
+		want = classifier.Deadline
 	} else if own && want == "" && arrival.ConfigurationVersion > w.limits.Version {
-		want = admitter.ReasonConfigBehind
+		want = classifier.ConfigBehind
 	}
 	switch event.(type) {
 	case admitter.Restrict, admitter.Limits, admitter.Cancel: // have a reason of their own
--- a/internal/state/retrier/events.go
+++ b/internal/state/retrier/events.go
@@ -1,32 +1,14 @@
 package retrier
 
-import "github.com/magnoliaknot/magnoliaknot/pkg/timer"
+import (
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+)
 
 // Attempt numbers the attempts of one request, starting at 1.
 type Attempt int32
 
-// Reason says why a request did not run or why its outcome is not known.
-// Reasons of admission are passed through.
-type Reason string
-
-// Reasons that this package gives or knows.
-const (
-	ReasonDeadline   Reason = "deadline"
-	ReasonNoInstance Reason = "no_instance"
-	ReasonCallerGone Reason = "caller_gone"
-	// ReasonFenced means that a query proved that the attempt did not start.
-	ReasonFenced Reason = "fenced"
-	// ReasonNoAnswer means that an attempt may have run without a complete
-	// answer.
-	ReasonNoAnswer Reason = "no_answer"
-	// ReasonQuarantined is the refusal that every instance of the service gives,
-	// so it is not retried.
-	ReasonQuarantined Reason = "quarantined"
-	// ReasonSenderBehind is the refusal of an attempt that only an older
-	// configuration sends here; other instances of the service refuse it too.
-	ReasonSenderBehind Reason = "sender_behind"
-)
-
 // FenceState is what admission knows of an attempt.
 type FenceState uint8
 
@@ -82,7 +64,7 @@
 		Attempt Attempt
 		// Arrived says that a backend server got the attempt and declined it.
 		Arrived    bool
-		Reason     Reason
+		Reason     classifier.Reason
 		RetryAfter timer.Millis
 	}
 	// Unknown says that the connection of an attempt broke or timed out after a
@@ -136,7 +118,7 @@
 	Finish struct {
 		Outcome    Outcome
 		Attempt    Attempt
-		Reason     Reason
+		Reason     classifier.Reason
 		RetryAfter timer.Millis
 	}
 )
--- a/internal/state/retrier/retrier.go
+++ b/internal/state/retrier/retrier.go
@@ -24,7 +24,11 @@
 // lock.
 package retrier
 
-import "github.com/magnoliaknot/magnoliaknot/pkg/timer"
+import (
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+)
 
 const (
 	// maxAttempts bounds the attempts of a request whatever its configuration.
@@ -92,7 +96,7 @@
 	wakeAt    timer.Millis // Zero when no timer is set.
 	now       timer.Millis
 
-	reason     Reason
+	reason     classifier.Reason
 	retryAfter timer.Millis
 
 	actions []Action
@@ -150,7 +154,7 @@
 		r.gone = true
 	case NoInstance:
 		r.exhausted = true
-		r.notRun(NotRun{Attempt: e.Attempt, Reason: ReasonNoInstance})
+		r.notRun(NotRun{Attempt: e.Attempt, Reason: classifier.NoInstance})
 	}
 }
 
@@ -184,10 +188,10 @@
 	}
 	a.fate = notRun
 	// That no instance is left is worth telling only if none has refused.
-	if e.Reason != ReasonNoInstance || r.reason == "" {
+	if e.Reason != classifier.NoInstance || r.reason == "" {
 		r.reason = e.Reason
 	}
-	if e.Reason == ReasonQuarantined || e.Reason == ReasonSenderBehind {
+	if e.Reason == classifier.Quarantined || e.Reason == classifier.SenderBehind {
 		r.exhausted = true
 	}
 	if e.RetryAfter > 0 && (r.retryAfter == 0 || e.RetryAfter < r.retryAfter) {
@@ -205,7 +209,7 @@
 		if a.fate == pending {
 			r.add(CancelAttempt{Attempt: e.Attempt})
 		}
-		r.notRun(NotRun{Attempt: e.Attempt, Reason: ReasonFenced})
+		r.notRun(NotRun{Attempt: e.Attempt, Reason: classifier.Fenced})
 	case FenceRunning:
 		if a.fate == broken {
 			a.fate = lost
@@ -220,10 +224,10 @@
 func (r *Retrier) proceed() {
 	switch {
 	case r.now >= r.config.Deadline:
-		r.end(ReasonDeadline)
+		r.end(classifier.Deadline)
 		return
 	case r.gone && !(r.config.Keyed && r.open()):
-		r.end(ReasonCallerGone)
+		r.end(classifier.CallerGone)
 		return
 	case !r.begun:
 		return
@@ -351,10 +355,10 @@
 
 // end finishes without a complete answer. The given reason stands in for
 // refusals only if there were none.
-func (r *Retrier) end(reason Reason) {
+func (r *Retrier) end(reason classifier.Reason) {
 	if !r.provenNotRun() {
 		if reason == "" {
-			reason = ReasonNoAnswer
+			reason = classifier.NoAnswer
 		}
 		r.finish(Finish{Outcome: OutcomeUnknown, Reason: reason})
 		return
--- a/internal/state/retrier/retrier_test.go
+++ b/internal/state/retrier/retrier_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -35,11 +36,11 @@
 	broken = moment{10, retrier.Unknown{Attempt: 1}, do(retrier.Query{Attempt: 1})}
 )
 
-func unknown(reason retrier.Reason) retrier.Finish {
+func unknown(reason classifier.Reason) retrier.Finish {
 	return retrier.Finish{Outcome: retrier.OutcomeUnknown, Reason: reason}
 }
 
-func refused(reason retrier.Reason, after timer.Millis) retrier.Finish {
+func refused(reason classifier.Reason, after timer.Millis) retrier.Finish {
 	return retrier.Finish{Outcome: retrier.OutcomeNotRun, Reason: reason, RetryAfter: after}
 }
 
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
@@ -122,14 +123,14 @@
 	var attempt encoder.Attempt
 	if err := attempt.Decode(&x.Request.Header); err != nil {
 		a.config.Logger.Warn("attempt not readable", "error", err.Error())
-		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}.Fill(&x.Response)
+		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}.Fill(&x.Response)
 		return
 	}
 	encoder.RemoveInternal(&x.Request.Header)
 	if attempt.Target != a.config.Member.Node {
 		// Another VM had this address when the sender learned it.
 		a.config.Logger.Warn("attempt for another instance refused", "attempt", attempt.ID.String(), "target", attempt.Target)
-		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonUnavailable, RetryAfterMs: unavailableRetry}.Fill(&x.Response)
+		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Unavailable, RetryAfterMs: unavailableRetry}.Fill(&x.Response)
 		return
 	}
 	a.config.Used(attempt.ID.Origin)
@@ -148,7 +149,7 @@
 	snapshot := a.config.Configuration.Snapshot()
 	host, path := string(header.Host()), pathOf(header.RequestURI())
 	if r.Attempt.Version < snapshot.Version && !snapshot.Sends(host, path, a.config.Member.Service) {
-		return refuse(encoder.ReasonSenderBehind, 0).refusal, false
+		return refuse(classifier.SenderBehind, 0).refusal, false
 	}
 	if route, found := snapshot.Lookup(host, path); found {
 		r.route = route.Name
@@ -191,17 +192,17 @@
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
 	if a.down {
-		r.decided <- refuse(encoder.ReasonUnavailable, unavailableRetry)
+		r.decided <- refuse(classifier.Unavailable, unavailableRetry)
 		return
 	}
 	verdict, left := a.quarantiner.Verdict(a.config.Clock.Wall(), r.fingerprint)
 	if verdict == quarantiner.Refuse {
-		r.decided <- refuse(encoder.ReasonQuarantined, left)
+		r.decided <- refuse(classifier.Quarantined, left)
 		return
 	}
 	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
 	if estimator.Hopeless(expected, r.Attempt.Remaining) {
-		r.decided <- refuse(encoder.ReasonTooSlow, tooSlowRetry)
+		r.decided <- refuse(classifier.TooSlow, tooSlowRetry)
 		return
 	}
 	a.runs[r.Attempt.ID] = r
@@ -221,7 +222,7 @@
 // loss is known to all daemons.
 const unavailableRetry = 500 * timer.Millis(1)
 
-func refuse(reason encoder.Reason, retryAfter timer.Millis) decision {
+func refuse(reason classifier.Reason, retryAfter timer.Millis) decision {
 	return decision{refusal: encoder.Refusal{Outcome: encoder.NotRun, Reason: reason, RetryAfterMs: retryAfter}}
 }
 
@@ -234,7 +235,7 @@
 		case admitter.Start:
 			a.decide(act.Attempt, decision{start: true, solo: act.Solo, remaining: act.Remaining})
 		case admitter.Refuse:
-			a.decide(act.Attempt, refuse(encoder.Reason(act.Reason), act.RetryAfter))
+			a.decide(act.Attempt, refuse(act.Reason, act.RetryAfter))
 		case admitter.Lost:
 			a.lost(now, act)
 		case admitter.Recheck:
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -41,7 +42,7 @@
 	run      *Run            // Nil for others.
 	response *fasthttp.Response
 	// reason says for the log why no whole answer came.
-	reason encoder.Reason
+	reason classifier.Reason
 }
 
 // ended is the end of an attempt.
@@ -139,14 +140,14 @@
 		e.answers[finish.Attempt].CopyTo(&e.x.Response)
 		return encoder.Refusal{}, true
 	case retrier.OutcomeNotRun:
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.Reason(finish.Reason), RetryAfterMs: finish.RetryAfter}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: finish.Reason, RetryAfterMs: finish.RetryAfter}, false
 	case retrier.OutcomeUnknown:
 		if e.fault != nil {
 			e.fault.CopyTo(&e.x.Response)
 			return encoder.Refusal{}, true
 		}
 	}
-	return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.Reason(finish.Reason)}, false
+	return encoder.Refusal{Outcome: encoder.Unknown, Reason: finish.Reason}, false
 }
 
 func (e *exchange) cancel(a *attempt) {
@@ -239,7 +240,7 @@
 		e.answered(a, latency)
 	case exchanger.Refused, exchanger.NotSent:
 		e.request.fleet.eject(e.now(), a.member.Node)
-		e.ended(a, retrier.NotRun{Attempt: a.number, Reason: retrier.Reason(encoder.ReasonConnection)}, latency, selector.NotRun)
+		e.ended(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Connection}, latency, selector.NotRun)
 	case exchanger.Broken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
 		a.reason = reasonOf(result)
 		if result == exchanger.Broken {
@@ -250,17 +251,17 @@
 }
 
 // reasonOf names the end of a call that may have run.
-func reasonOf(result exchanger.Result) encoder.Reason {
+func reasonOf(result exchanger.Result) classifier.Reason {
 	switch result {
 	case exchanger.Incomplete:
-		return encoder.ReasonIncomplete
+		return classifier.Incomplete
 	case exchanger.TimedOut:
-		return encoder.ReasonDeadline
+		return classifier.Deadline
 	case exchanger.Aborted:
-		return encoder.ReasonCanceled
+		return classifier.Canceled
 	case exchanger.Answered, exchanger.NotSent, exchanger.Refused, exchanger.Broken:
 	}
-	return encoder.ReasonConnection
+	return classifier.Connection
 }
 
 // answered handles a whole answer of another daemon.
@@ -285,14 +286,14 @@
 		return
 	}
 	switch refusal.Reason {
-	case encoder.ReasonSenderBehind:
+	case classifier.SenderBehind:
 		e.ingress.config.Behind(a.member)
-	case encoder.ReasonDomainOut, encoder.ReasonUnavailable, encoder.ReasonDraining:
+	case classifier.DomainOut, classifier.Unavailable, classifier.Draining:
 		e.request.fleet.eject(e.now(), a.member.Node)
 	}
 	e.ended(a, retrier.NotRun{
-		Attempt: a.number, Arrived: refusal.Reason == encoder.ReasonShed,
-		Reason: retrier.Reason(refusal.Reason), RetryAfter: refusal.RetryAfterMs,
+		Attempt: a.number, Arrived: refusal.Reason == classifier.Shed,
+		Reason: refusal.Reason, RetryAfter: refusal.RetryAfterMs,
 	}, latency, selector.NotRun)
 }
 
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
@@ -19,9 +20,9 @@
 func (a *Admission) forward(r *Run, d decision, record runEndRecord) (encoder.Refusal, bool) {
 	if a.slowed(r.Attempt.Urgency.Slowdown) {
 		a.finish(r, d, admitter.Shed, 0)
-		record.reason, record.load = encoder.ReasonSlowed, a.Load()
+		record.reason, record.load = classifier.Slowed, a.Load()
 		a.observer.ran(record)
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonSlowed}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Slowed}, false
 	}
 	started, before := a.config.Clock.Now(), a.Load()
 	result, reused := a.send(r, d)
@@ -85,11 +86,11 @@
 	refusal  encoder.Refusal
 }
 
-func notRun(result admitter.Result, reason encoder.Reason) runEnd {
+func notRun(result admitter.Result, reason classifier.Reason) runEnd {
 	return runEnd{result: result, refusal: encoder.Refusal{Outcome: encoder.NotRun, Reason: reason}}
 }
 
-func unknown(result admitter.Result, reason encoder.Reason) runEnd {
+func unknown(result admitter.Result, reason classifier.Reason) runEnd {
 	return runEnd{result: result, refusal: encoder.Refusal{Outcome: encoder.Unknown, Reason: reason}}
 }
 
@@ -98,29 +99,29 @@
 	case exchanger.Answered:
 		return a.judgeAnswer(r)
 	case exchanger.NotSent:
-		return notRun(admitter.TimedOut, encoder.ReasonConnection)
+		return notRun(admitter.TimedOut, classifier.Connection)
 	case exchanger.Refused:
 		a.setDown("connection refused")
-		return notRun(admitter.ConnectionRefused, encoder.ReasonUnavailable)
+		return notRun(admitter.ConnectionRefused, classifier.Unavailable)
 	case exchanger.TimedOut, exchanger.Aborted:
-		return unknown(admitter.TimedOut, encoder.ReasonDeadline)
+		return unknown(admitter.TimedOut, classifier.Deadline)
 	case exchanger.Broken:
-		return unknown(admitter.Crashed, encoder.ReasonConnection)
+		return unknown(admitter.Crashed, classifier.Connection)
 	case exchanger.Incomplete:
 	}
-	return unknown(admitter.Failed, encoder.ReasonIncomplete)
+	return unknown(admitter.Failed, classifier.Incomplete)
 }
 
 func (a *Admission) judgeAnswer(r *Run) runEnd {
 	a.observe(&r.Response.Header)
 	switch a.config.Dialect.Judge(r.Response) {
 	case Declined:
-		return notRun(admitter.Shed, encoder.ReasonShed)
+		return notRun(admitter.Shed, classifier.Shed)
 	case Misdirected:
 		a.setDown("another backend server answered")
-		return notRun(admitter.Shed, encoder.ReasonUnavailable)
+		return notRun(admitter.Shed, classifier.Unavailable)
 	case Spoiled:
-		return unknown(admitter.Failed, encoder.ReasonIncomplete)
+		return unknown(admitter.Failed, classifier.Incomplete)
 	case Genuine:
 	}
 	removeHopHeaders(&r.Response.Header)
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -101,34 +102,34 @@
 // serve reports false, and why, if the response holds no answer.
 func (i *Ingress) serve(x *exchanger.Exchange, end *requestEnd) (encoder.Refusal, bool) {
 	if i.draining.Load() {
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDraining, RetryAfterMs: drainRetry}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining, RetryAfterMs: drainRetry}, false
 	}
 	snapshot := i.config.Configuration.Snapshot()
 	if snapshot.Version == 0 {
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNotConfigured, RetryAfterMs: unconfiguredRetry}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NotConfigured, RetryAfterMs: unconfiguredRetry}, false
 	}
 	header := &x.Request.Header
 	route, found := snapshot.Lookup(string(header.Host()), pathOf(header.RequestURI()))
 	if !found {
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}, false
 	}
 	deadline := x.ReceivedAt + route.Timeout
 	if left, given := i.config.Dialect.TimeLeft(header); given {
 		deadline = min(deadline, x.ReceivedAt+left)
 	}
 	if !route.Idempotent && !x.AwaitTurn() {
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDeadline}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Deadline}, false
 	}
 	end.timeLeft = deadline - x.ReceivedAt
 	refusal, answered := i.route(x, snapshot, route, deadline, end)
-	if answered || refusal.Reason != encoder.ReasonSenderBehind {
+	if answered || refusal.Reason != classifier.SenderBehind {
 		return refusal, answered
 	}
 	// Another daemon has a newer configuration, by which the request belongs
 	// elsewhere; nothing has run yet.
 	newer := i.awaitNewer(snapshot)
 	if route, found = newer.Lookup(string(header.Host()), pathOf(header.RequestURI())); !found {
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}, false
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}, false
 	}
 	return i.route(x, newer, route, deadline, end)
 }
--- a/internal/transport/dispatcher/observer.go
+++ b/internal/transport/dispatcher/observer.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -56,7 +57,7 @@
 	service  string
 	version  uint64
 	outcome  encoder.Outcome
-	reason   encoder.Reason
+	reason   classifier.Reason
 	status   int
 	attempts int
 	instance string
@@ -128,7 +129,7 @@
 	backend string
 	started bool
 	result  admitter.Result
-	reason  encoder.Reason
+	reason  classifier.Reason
 	load    registrar.Load
 	loadAge timer.Millis
 	waited  timer.Millis
--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -8,6 +8,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
@@ -133,14 +134,14 @@
 	}
 	switch a.fencer.Arrive(now, attempt.ID) {
 	case fencer.Fenced:
-		return refuse(encoder.NotRun, encoder.ReasonFenced, 0), nil
+		return refuse(encoder.NotRun, classifier.Fenced, 0), nil
 	case fencer.Duplicate, fencer.Uncertain:
-		return refuse(encoder.Unknown, encoder.ReasonFenced, 0), nil
+		return refuse(encoder.Unknown, classifier.Fenced, 0), nil
 	case fencer.Admitted:
 	}
 	verdict, left := a.quarantiner.Verdict(a.config.Clock.Wall(), fingerprint)
 	if verdict == quarantiner.Refuse {
-		return refuse(a.refused(now, attempt.ID), encoder.ReasonQuarantined, left), nil
+		return refuse(a.refused(now, attempt.ID), classifier.Quarantined, left), nil
 	}
 	answer := make(chan decision, 1)
 	a.waiting[attempt.ID] = answer
@@ -153,7 +154,7 @@
 	return decision{}, answer
 }
 
-func refuse(outcome encoder.Outcome, reason encoder.Reason, retryAfter timer.Millis) decision {
+func refuse(outcome encoder.Outcome, reason classifier.Reason, retryAfter timer.Millis) decision {
 	return decision{refusal: encoder.Refusal{Outcome: outcome, Reason: reason, RetryAfterMs: retryAfter}}
 }
 
@@ -175,7 +176,7 @@
 			a.start(now, act)
 		case admitter.Refuse:
 			outcome := a.refused(now, act.Attempt)
-			a.decide(act.Attempt, refuse(outcome, encoder.Reason(act.Reason), act.RetryAfter))
+			a.decide(act.Attempt, refuse(outcome, act.Reason, act.RetryAfter))
 		case admitter.Lost:
 			a.lost(now, act)
 		case admitter.Recheck:
@@ -190,7 +191,7 @@
 
 func (a *Admission) start(now timer.Millis, act admitter.Start) {
 	if !a.fencer.Started(now, act.Attempt) {
-		a.decide(act.Attempt, refuse(encoder.Unknown, encoder.ReasonFenced, 0))
+		a.decide(act.Attempt, refuse(encoder.Unknown, classifier.Fenced, 0))
 		return
 	}
 	a.decide(act.Attempt, decision{start: true, solo: act.Solo, remaining: act.Remaining})
--- a/internal/transport/receiver/exchange.go
+++ b/internal/transport/receiver/exchange.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
@@ -113,11 +114,11 @@
 		return result{response: x.answers[finish.Attempt]}
 	case retrier.OutcomeNotRun:
 		return result{refusal: encoder.Refusal{
-			Outcome: encoder.NotRun, Reason: encoder.Reason(finish.Reason), RetryAfterMs: finish.RetryAfter,
+			Outcome: encoder.NotRun, Reason: finish.Reason, RetryAfterMs: finish.RetryAfter,
 		}}
 	case retrier.OutcomeUnknown:
 	}
-	return result{refusal: encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.Reason(finish.Reason)}}
+	return result{refusal: encoder.Refusal{Outcome: encoder.Unknown, Reason: finish.Reason}}
 }
 
 // perform does what an action asks for. It returns an event that follows at
@@ -173,7 +174,7 @@
 	if status == forwarder.Refused {
 		i.config.Membership.Step(now, tracker.Refused{Instance: s.member.Instance})
 	}
-	if refused, isRefusal := event.(retrier.NotRun); isRefusal && takesNothing(encoder.Reason(refused.Reason)) {
+	if refused, isRefusal := event.(retrier.NotRun); isRefusal && takesNothing(refused.Reason) {
 		route.eject(now, s.member.Instance)
 	}
 	if load := response.Header.Peek(encoder.HeaderLoad); len(load) > 0 && status == forwarder.Answered {
@@ -190,9 +191,9 @@
 
 // takesNothing tells whether a refusal means that the instance takes no request
 // at all for now, unlike one that is overloaded.
-func takesNothing(reason encoder.Reason) bool {
+func takesNothing(reason classifier.Reason) bool {
 	switch reason {
-	case encoder.ReasonConnection, encoder.ReasonDraining, encoder.ReasonDomainOut, encoder.ReasonIsolated, encoder.ReasonUnavailable:
+	case classifier.Connection, classifier.Draining, classifier.DomainOut, classifier.Isolated, classifier.Unavailable:
 		return true
 	}
 	return false
@@ -205,7 +206,7 @@
 	case forwarder.Answered:
 		return x.judgeAnswer(number, s, response)
 	case forwarder.NotWritten, forwarder.Refused:
-		return retrier.NotRun{Attempt: number, Reason: retrier.Reason(encoder.ReasonConnection)}, selector.NotRun
+		return retrier.NotRun{Attempt: number, Reason: classifier.Connection}, selector.NotRun
 	case forwarder.Incomplete:
 		return retrier.Answered{Attempt: number}, selector.Unknown
 	case forwarder.TimedOut, forwarder.Broken:
@@ -226,7 +227,7 @@
 	}
 	if refusal.Outcome == encoder.NotRun {
 		return retrier.NotRun{
-			Attempt: number, Reason: retrier.Reason(refusal.Reason), RetryAfter: refusal.RetryAfterMs,
+			Attempt: number, Reason: refusal.Reason, RetryAfter: refusal.RetryAfterMs,
 		}, selector.NotRun
 	}
 	return retrier.Unknown{Attempt: number}, selector.Unknown
--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
@@ -403,6 +404,6 @@
 		request.SetRequestURI("http://" + w.address + "/orders")
 		request.Header.Set(encoder.HeaderDepth, "8")
 		Expect(fasthttp.Do(request, response)).To(Succeed())
-		Expect(string(response.Header.Peek(encoder.HeaderReason))).To(Equal(string(encoder.ReasonTooDeep)))
+		Expect(string(response.Header.Peek(encoder.HeaderReason))).To(Equal(string(classifier.TooDeep)))
 	})
 })
--- a/internal/transport/receiver/forward.go
+++ b/internal/transport/receiver/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -20,7 +21,7 @@
 	var attempt encoder.Attempt
 	if err := attempt.Decode(&ctx.Request.Header); err != nil {
 		a.config.Logger.Warn("attempt refused", "error", err.Error())
-		encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}.Write(ctx)
+		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}.Write(ctx)
 		return
 	}
 	attempt = a.awaitVersion(attempt)
@@ -151,16 +152,16 @@
 	case forwarder.Answered:
 		var shed encoder.Refusal
 		if header.StatusCode() == fasthttp.StatusServiceUnavailable && shed.Decode(header) && shed.Outcome == encoder.NotRun {
-			return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonShed, RetryAfterMs: shed.RetryAfterMs}, true
+			return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Shed, RetryAfterMs: shed.RetryAfterMs}, true
 		}
 		return encoder.Refusal{}, false
 	case forwarder.NotWritten, forwarder.Refused:
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonConnection}, true
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Connection}, true
 	case forwarder.TimedOut:
-		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonDeadline}, true
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: classifier.Deadline}, true
 	case forwarder.Incomplete:
-		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonIncomplete}, true
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: classifier.Incomplete}, true
 	case forwarder.Broken:
 	}
-	return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonConnection}, true
+	return encoder.Refusal{Outcome: encoder.Unknown, Reason: classifier.Connection}, true
 }
--- a/internal/transport/receiver/harness_test.go
+++ b/internal/transport/receiver/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/limiter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
@@ -209,7 +210,7 @@
 type answer struct {
 	status  int
 	outcome encoder.Outcome
-	reason  encoder.Reason
+	reason  classifier.Reason
 	body    string
 }
 
@@ -227,7 +228,7 @@
 	}
 	return answer{
 		status: response.StatusCode(), outcome: encoder.Outcome(response.Header.Peek(encoder.HeaderOutcome)),
-		reason: encoder.Reason(response.Header.Peek(encoder.HeaderReason)), body: string(response.Body()),
+		reason: classifier.Reason(response.Header.Peek(encoder.HeaderReason)), body: string(response.Body()),
 	}
 }
 
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -23,6 +23,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
@@ -97,11 +98,11 @@
 	started := i.config.Clock.Now()
 	defer i.inFlight.Add(-1)
 	if i.inFlight.Add(1) > int64(i.config.MaxInFlight) {
-		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonTooManyRequest, RetryAfterMs: drainRetryAfter})
+		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.TooManyRequest, RetryAfterMs: drainRetryAfter})
 		return
 	}
 	if i.draining.Load() {
-		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonDraining, RetryAfterMs: drainRetryAfter})
+		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining, RetryAfterMs: drainRetryAfter})
 		ctx.SetConnectionClose()
 		return
 	}
@@ -135,23 +136,23 @@
 	encoder.RemoveInternal(header)
 	timeout, given, err := encoder.DecodeTimeout(header)
 	if err != nil {
-		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
 	}
 	depth, err := encoder.DecodeDepth(header)
 	if err != nil {
-		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
 	}
 	if depth >= i.config.MaxDepth {
-		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonTooDeep}
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.TooDeep}
 	}
 	view := i.config.View()
 	if view.Version == 0 {
-		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNotConfigured, RetryAfterMs: timer.Second}
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NotConfigured, RetryAfterMs: timer.Second}
 	}
 	path := string(ctx.Path())
 	service, found := view.Schedule.Route(string(header.Peek(encoder.HeaderService)), string(ctx.Host()), path)
 	if !found {
-		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoService}
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}
 	}
 	if !given {
 		timeout = service.DefaultTimeout
@@ -163,7 +164,7 @@
 		key:        identifier.IdempotencyKey(header.Peek(encoder.HeaderIdempotencyKey)),
 	}
 	if r.key == "" && service.KeyRequired(string(ctx.Method()), path) {
-		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonKeyRequired}
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.KeyRequired}
 	}
 	r.keyed = r.key != "" && !r.idempotent && service.DeduplicationWindow > 0
 	return r, nil
@@ -277,10 +278,10 @@
 // HandleError answers a request that could not be read. It has not run, since
 // nothing is forwarded before the whole request was read.
 func HandleError(ctx *fasthttp.RequestCtx, err error) {
-	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonBadRequest}
+	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
 	var small *fasthttp.ErrSmallBuffer
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
-		refusal.Reason = encoder.ReasonTooLarge
+		refusal.Reason = classifier.TooLarge
 	}
 	refusal.Write(ctx)
 	ctx.SetConnectionClose()
--- a/internal/transport/receiver/keyed.go
+++ b/internal/transport/receiver/keyed.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -35,7 +36,7 @@
 	}
 	verdict, kept, ok := i.config.Claimer.Claim(r.deadline, claim)
 	if !ok {
-		i.refuse(ctx, r.service.Name, encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoOwner, RetryAfterMs: noOwnerRetryAfter})
+		i.refuse(ctx, r.service.Name, encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoOwner, RetryAfterMs: noOwnerRetryAfter})
 		return
 	}
 	if verdict == deduplicator.Granted {
@@ -70,16 +71,16 @@
 func refusalOfVerdict(verdict deduplicator.Verdict) encoder.Refusal {
 	switch verdict {
 	case deduplicator.Mismatch:
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonKeyMismatch}
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.KeyMismatch}
 	case deduplicator.Done:
-		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonKeyDone}
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: classifier.KeyDone}
 	case deduplicator.OwnerLost:
-		return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonOwnerLost}
+		return encoder.Refusal{Outcome: encoder.Unknown, Reason: classifier.OwnerLost}
 	case deduplicator.Full:
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: encoder.ReasonNoOwner, RetryAfterMs: noOwnerRetryAfter}
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoOwner, RetryAfterMs: noOwnerRetryAfter}
 	case deduplicator.InProgress, deduplicator.Granted:
 	}
-	return encoder.Refusal{Outcome: encoder.Unknown, Reason: encoder.ReasonKeyInProgress}
+	return encoder.Refusal{Outcome: encoder.Unknown, Reason: classifier.KeyInProgress}
 }
 
 // encodeAnswer returns an answer as it is on the wire, or nil if it is too
