Let receiver name what it needs of the configuration and the members

It imported coordination/holder, the one import of the transport layer for state that coordination keeps. The view of the configuration moves to scheduler, and receiver has interfaces of its own.

--- a/internal/coordination/holder/configuration.go
+++ b/internal/coordination/holder/configuration.go
@@ -20,22 +20,13 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
-	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
 )
 
-// View is the configuration in force. It is immutable.
-type View struct {
-	Version  identifier.Version
-	Offset   identifier.Offset
-	Sheet    *parser.Sheet
-	Schedule *scheduler.Schedule
-}
-
 // Configuration holds the fold of the configuration stream. It is safe for
 // concurrent use.
 type Configuration struct {
 	logger *slog.Logger
-	view   atomic.Pointer[View]
+	view   atomic.Pointer[scheduler.View]
 
 	mu      sync.Mutex
 	reducer *reducer.Reducer
@@ -50,12 +41,12 @@
 // NewConfiguration returns a holder without configuration.
 func NewConfiguration(logger *slog.Logger) *Configuration {
 	c := &Configuration{logger: logger, reducer: reducer.New(reducer.Config{}), changed: make(chan struct{})}
-	c.view.Store(&View{Schedule: scheduler.New(nil, nil)})
+	c.view.Store(&scheduler.View{Schedule: scheduler.New(nil, nil)})
 	return c
 }
 
 // View returns the configuration in force; its version is 0 before the first.
-func (c *Configuration) View() *View { return c.view.Load() }
+func (c *Configuration) View() *scheduler.View { return c.view.Load() }
 
 // Apply folds one record of the configuration stream.
 func (c *Configuration) Apply(offset identifier.Offset, payload []byte) error {
@@ -160,7 +151,7 @@
 	state := c.reducer.State()
 	view := c.view.Load()
 	if state.Version != view.Version {
-		c.view.Store(&View{
+		c.view.Store(&scheduler.View{
 			Version: state.Version, Offset: state.FoldedOffset, Sheet: state.Sheet,
 			Schedule: scheduler.New(state.Sheet, state.ReturnedAt),
 		})
--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
@@ -33,7 +32,7 @@
 type AdmissionConfig struct {
 	Clock          timer.Clock
 	FailureDomain  identifier.FailureDomain
-	Configuration  *holder.Configuration
+	Configuration  Configuration
 	Measuring      *Measuring
 	MaxAnswerBytes int
 	// Alone tells whether this daemon is the only member.
--- /dev/null
+++ b/internal/transport/receiver/holders.go
@@ -0,0 +1,28 @@
+package receiver
+
+import (
+	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// Configuration tells which configuration is in force. It is safe for concurrent use.
+type Configuration interface {
+	// View returns the configuration in force; its version is 0 before the first.
+	View() *scheduler.View
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Membership tells which instances there are. It is safe for concurrent use.
+type Membership interface {
+	// Version grows with each change of a member.
+	Version() uint64
+	// Lookup returns a member.
+	Lookup(instance identifier.InstanceID) (tracker.Member, bool)
+	// Read calls a function with the table, which must not keep it.
+	Read(read func(*tracker.Tracker))
+	// Step takes in what was seen of a member.
+	Step(now timer.Millis, event tracker.Event) []tracker.Action
+}
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -21,9 +21,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/magnoliaknot/magnoliaknot/internal/coordination/holder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
@@ -50,8 +50,8 @@
 	Incarnation   identifier.Incarnation
 	FailureDomain identifier.FailureDomain
 	Clock         timer.Clock
-	View          func() *holder.View
-	Membership    *holder.Membership
+	View          func() *scheduler.View
+	Membership    Membership
 	Peers         *Peers
 	Claimer       Claimer
 	// Probe asks an instance for its load.
