--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -56,7 +56,6 @@
 type Health struct {
 	// Backend is empty if the page names none.
 	Backend identifier.BackendID
-	Good    bool
 	// ColdFor is how long the backend server stays cold.
 	ColdFor timer.Millis
 }
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -97,6 +97,9 @@
 		}
 		select {
 		case end := <-e.events:
+			if _, refused := end.event.(retrier.NotRun); refused {
+				e.request.end.refused++
+			}
 			if end.response != nil && end.fault {
 				e.fault = end.response
 			} else if end.response != nil {
