--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -16,11 +16,9 @@
 
 const (
 	tick = 50 * timer.Millis(1)
-	// queuePerSlot and coldMargin are those of admission.
-	queuePerSlot = 4
-	coldMargin   = 1.15
-	usual        = 100
-	route        = "request"
+	// usual is the time of work on a VM of its own, in percent.
+	usual = 100
+	route = "request"
 )
 
 // instance is a backend server with its admission.
@@ -67,7 +65,7 @@
 		in.limit = in.estimator.Limit(in.world.now, slots)
 	}
 	in.step(admitter.Limits{
-		Version: 1, MaxInFlight: in.limit, MaxQueue: queuePerSlot * slots, ColdLimit: slots + 1, RampCompletions: 1,
+		Version: 1, MaxInFlight: in.limit, MaxQueue: estimator.QueuePerSlot * slots, ColdLimit: slots + 1, RampCompletions: 1,
 		MaxTimeout: timer.Minute,
 	})
 }
@@ -92,7 +90,7 @@
 func (in *instance) setPace() {
 	pace := admitter.Pace{}
 	if in.cold() {
-		pace.PerSecond = max(1, int(in.world.load.ColdPerSecond*coldMargin))
+		pace.PerSecond = max(1, int(in.world.load.ColdPerSecond*estimator.PaceMargin))
 	}
 	in.step(pace)
 }
@@ -123,10 +121,10 @@
 func (in *instance) arrive(a *attempt) {
 	expected := in.estimator.Expected(route, in.slowdown())
 	if in.world.policies.RefuseHopeless && estimator.Hopeless(expected, a.remaining()) {
-		a.refused(250)
+		a.refused(estimator.TooSlowRetry)
 		return
 	}
-	wait := max(1, min(a.remaining()/2, in.world.load.Target))
+	wait := estimator.MaxWait(in.world.load.Target, a.remaining())
 	if in.world.policies.BoundWait {
 		wait = estimator.WaitFor(wait, a.targetLeft(), expected)
 	}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -25,9 +25,6 @@
 	// request that may not be repeated. A backend server may forget an idle
 	// connection without notice.
 	unrepeatableReuse = 500 * timer.Millis(1)
-	// queuePerSlot bounds the queue. Waiting longer than four runs leaves no time
-	// for the request itself.
-	queuePerSlot = 4
 	// maxRunTime bounds a run when its attempt does not.
 	maxRunTime = timer.Minute
 	// restoredDomain is the ramp share of a failure domain in service.
@@ -202,7 +199,7 @@
 	}
 	expected := a.estimator.Expected(r.route, int32(a.load.SlowdownPercent))
 	if estimator.Hopeless(expected, r.Attempt.Remaining) {
-		r.decided <- refuse(classifier.TooSlow, tooSlowRetry)
+		r.decided <- refuse(classifier.TooSlow, estimator.TooSlowRetry)
 		return
 	}
 	a.runs[r.Attempt.ID] = r
@@ -215,9 +212,6 @@
 	a.config.Changed()
 }
 
-// tooSlowRetry is about the time in which a shared host changes its speed.
-const tooSlowRetry = 250 * timer.Millis(1)
-
 // unavailableRetry is about the time in which a backend server is back or its
 // loss is known to all daemons.
 const unavailableRetry = 500 * timer.Millis(1)
@@ -312,7 +306,7 @@
 	slots := int(a.backend.Slots)
 	a.limit = a.estimator.Limit(now, slots)
 	a.step(now, admitter.Limits{
-		Version: snapshot.Version, MaxInFlight: a.limit, MaxQueue: queuePerSlot * slots,
+		Version: snapshot.Version, MaxInFlight: a.limit, MaxQueue: estimator.QueuePerSlot * slots,
 		// A cold backend server is limited by its rate, not by its slots.
 		ColdLimit: slots + 1, RampCompletions: 1, MaxTimeout: maxRunTime,
 	})
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -180,7 +181,7 @@
 	details := encoder.Attempt{
 		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
 		Urgency: encoder.Urgency{
-			Priority: route.Priority, MaxWait: maxWait(route, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
+			Priority: route.Priority, MaxWait: estimator.MaxWait(route.Target, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
 			TargetLeft: max(0, e.x.ReceivedAt+route.Target-now),
 		},
 	}
@@ -206,22 +207,8 @@
 	// answerSlack lets the answer to an attempt that ended at its deadline
 	// arrive, so that its connection can be kept.
 	answerSlack = 50 * timer.Millis(1)
-	// waitShare is the part of the time left that an attempt may wait for its
-	// start.
-	waitShare = 2
 )
 
-// maxWait bounds the wait for a start: an attempt that starts after the target
-// has passed earns little, and one that starts late in its time ends at the
-// deadline.
-func maxWait(route *router.Route, remaining timer.Millis) timer.Millis {
-	wait := remaining / waitShare
-	if route.Target > 0 {
-		wait = min(wait, route.Target)
-	}
-	return max(1, wait)
-}
-
 // local runs an attempt on the own instance.
 func (e *exchange) local(a *attempt) {
 	started := time.Now()
--- a/internal/transport/dispatcher/warmth.go
+++ b/internal/transport/dispatcher/warmth.go
@@ -2,14 +2,10 @@
 
 import (
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
-// paceMargin is the rate in use, in parts of the one that a cold backend server is
-// said to bear. The platform bounds it at 1.5 times the rate and 5 more; the rest is
-// for health checks and for starts that arrive in the next second.
-const paceMargin = 1.15
-
 // warmth is what is known of a cold start. The zero value is cold.
 type warmth struct {
 	known bool
@@ -41,7 +37,7 @@
 	pace := admitter.Pace{}
 	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
 	if found && service.ColdPerSecond > 0 && a.warmth.cold(now) {
-		pace.PerSecond = max(1, int(service.ColdPerSecond*paceMargin))
+		pace.PerSecond = max(1, int(service.ColdPerSecond*estimator.PaceMargin))
 		pace.Spent = !a.warmth.known && !a.warmth.spent
 		a.warmth.spent = true
 	}
