--- a/internal/transport/receiver/route.go
+++ b/internal/transport/receiver/route.go
@@ -59,6 +59,8 @@
 	queries *retrier.Budget
 	answers retrier.Latencies
 	wanted  map[identifier.InstanceID]timer.Millis
+	// service is what the budgets are configured by.
+	service *parser.Service
 	usedAt  timer.Millis
 }
 
@@ -101,8 +103,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.usedAt = now
-	r.retries.Configure(now, retrier.BudgetConfig{Percent: int(service.RetryBudgetPercent)})
-	r.hedges.Configure(now, retrier.BudgetConfig{Percent: int(service.HedgePercent)})
+	if r.service != service {
+		r.service = service
+		r.retries.Configure(now, retrier.BudgetConfig{Percent: int(service.RetryBudgetPercent)})
+		r.hedges.Configure(now, retrier.BudgetConfig{Percent: int(service.HedgePercent)})
+	}
 	r.retries.Earn(now)
 	r.hedges.Earn(now)
 	r.queries.Earn(now)
