--- a/internal/state/router/router.go
+++ b/internal/state/router/router.go
@@ -25,6 +25,8 @@
 	PathPrefix string `json:"path_prefix"`
 	// Idempotent requests may run more than once.
 	Idempotent bool `json:"idempotent"`
+	// LargeBody says that responses are usually too large to be buffered.
+	LargeBody bool `json:"large_body,omitempty"`
 	// MaxAttempts is the number of instances that one request may be sent to.
 	MaxAttempts int `json:"max_attempts"`
 	// Timeout limits the time that a caller waits.
