Pass on large responses as they arrive and bound the memory for bodies

Interim responses without end held a call until its deadline.

Change: exchanger reads the framing of bodies itself. A response above bodies.buffer_kb (a quarter of it for downloads), or one that finds no memory left, is passed on as it arrives; it keeps its slot until its end. A retry ends with the first byte passed on. A body that breaks off resets the caller's connection. Interim responses, chunk extensions, trailers, responses to other requests and bodies have bounds, and all buffered bodies share bodies.memory_mb; a request that does not fit is refused as overloaded. Attempts share the request's body instead of copying it.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -80,10 +80,14 @@
 	Notice timer.Millis
 	// LoadCheck is how long the start of an attempt waits for a check of the load.
 	LoadCheck timer.Millis
-	Dialect   dispatcher.Dialect
-	Source    Source
-	Directory Directory
-	Logger    *slog.Logger
+	// Bodies bound the bodies of responses, BodyMemory the bytes of all bodies that are
+	// buffered at the same time.
+	Bodies     dispatcher.BodyLimits
+	BodyMemory int64
+	Dialect    dispatcher.Dialect
+	Source     Source
+	Directory  Directory
+	Logger     *slog.Logger
 }
 
 // Daemon runs beside one backend server.
@@ -122,7 +126,7 @@
 			Node: config.Node, Incarnation: d.incarnation, FailureDomain: config.FailureDomain, Region: config.Region,
 			Peer: config.Addresses.Peers, Report: config.Addresses.Reports, Service: config.Service,
 		},
-		Address: config.Addresses.Backend, Clock: clock, Configuration: d.configuration, Dialect: config.Dialect,
+		Address: config.Addresses.Backend, Clock: clock, Configuration: d.configuration, Dialect: config.Dialect, Bodies: config.Bodies,
 		LoadCheckTimeout: config.LoadCheck, OnChange: d.triggerBroadcast, OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
 	var err error
@@ -139,7 +143,7 @@
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
 		Self: config.Node, Caller: config.Service, Incarnation: d.incarnation, FailureDomain: config.FailureDomain,
 		Clock: clock, Configuration: d.configuration, Members: d.gossiper, Peers: d.peers, Admission: d.admission,
-		Dialect: config.Dialect, Retries: config.Retries, OnNewerConfiguration: d.scheduleFetch, Logger: config.Logger,
+		Dialect: config.Dialect, Bodies: config.Bodies, Retries: config.Retries, OnNewerConfiguration: d.scheduleFetch, Logger: config.Logger,
 	})
 	return d, nil
 }
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
@@ -38,20 +39,22 @@
 
 // Run serves until the context ends or a server fails, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
+	memory := exchanger.NewMemory(d.config.BodyMemory)
+	metrics.GetOrCreateGauge("magnoliaknot_body_memory_bytes", func() float64 { return float64(memory.Used()) })
 	d.callerServer = exchanger.NewServer(exchanger.ServerConfig{
-		Handler: d.ingress, Limits: d.callerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
+		Handler: d.ingress, Limits: d.callerLimits, Reject: d.reject, Memory: memory, Clock: d.clock, Logger: d.config.Logger,
 	})
 	d.peerServer = exchanger.NewServer(exchanger.ServerConfig{
-		Handler: exchanger.HandlerFunc(d.servePeer), Limits: peerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
+		Handler: exchanger.HandlerFunc(d.servePeer), Limits: peerLimits, Reject: d.reject, Memory: memory, Clock: d.clock, Logger: d.config.Logger,
 	})
-	metrics := exchanger.NewServer(exchanger.ServerConfig{
+	metricsServer := exchanger.NewServer(exchanger.ServerConfig{
 		Handler: exchanger.HandlerFunc(serveMetrics), Limits: peerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
 	})
 	failed := make(chan error, 3)
 	for _, s := range []struct {
 		server  *exchanger.Server
 		address identifier.Address
-	}{{d.callerServer, d.config.Addresses.Callers}, {d.peerServer, d.config.Addresses.Peers}, {metrics, d.config.Addresses.Metrics}} {
+	}{{d.callerServer, d.config.Addresses.Callers}, {d.peerServer, d.config.Addresses.Peers}, {metricsServer, d.config.Addresses.Metrics}} {
 		listener, err := net.Listen("tcp4", string(s.address))
 		if err != nil {
 			return Error.Wrap(err)
@@ -141,6 +144,8 @@
 		refusal.Reason = classifier.TooLarge
 	case exchanger.HeaderTooLarge:
 		refusal.Reason = classifier.HeaderTooLarge
+	case exchanger.OutOfMemory:
+		refusal.Reason = classifier.Overloaded
 	case exchanger.Malformed:
 	}
 	refusal.WriteResponse(response)
--- a/internal/assembler/sync.go
+++ b/internal/assembler/sync.go
@@ -36,6 +36,9 @@
 	otherDomainDelay = 250 * timer.Millis(1)
 	// maxConfigurationBytes bounds the decompressed configuration of another daemon.
 	maxConfigurationBytes = 64 << 20
+	// maxSyncBytes bounds the response to a query: the compressed configuration, or the
+	// members of a fleet at about 400 bytes each.
+	maxSyncBytes = 16 << 20
 )
 
 // configurationCache caches the encoded configuration for the members that fetch it.
@@ -210,6 +213,7 @@
 	request.Header.SetHost(string(m.Peer))
 	result := d.peers.Pool(m.Peer).Do(&exchanger.Call{
 		Request: request, Response: response, MaxReuseIdle: syncTimeout, Deadline: time.Now().Add(syncTimeout.Duration()),
+		BodyLimit: maxSyncBytes,
 	})
 	if result != exchanger.Answered || response.StatusCode() != fasthttp.StatusOK {
 		return nil, Error.New("%s: result %d, status %d", path, result, response.StatusCode())
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -141,6 +141,9 @@
 		}
 		outcome, reason := textOf(l.fields["outcome"]), textOf(l.fields["reason"])
 		text := fmt.Sprintf("\nended with status %v: %s", l.fields["status"], explanations[outcome])
+		if outcome == "unknown" && l.fields["streamed"] == true {
+			text = fmt.Sprintf("\nended after status %v was passed on: the body broke off; the request ran", l.fields["status"])
+		}
 		if explained := explanations[reason]; explained != "" {
 			text += "; " + explained
 		}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -56,6 +56,7 @@
 	Clock         timer.Clock
 	Configuration *router.Holder
 	Dialect       Dialect
+	Bodies        BodyLimits
 	// LoadCheckTimeout is how long a start waits for a health check if the known load
 	// is too old.
 	LoadCheckTimeout timer.Millis
@@ -133,6 +134,11 @@
 	}
 	a.config.OnAttempt(attempt.ID.Origin)
 	run := NewRun(attempt, &x.Request, &x.Response)
+	run.Memory = x.Memory()
+	run.Deliver = func(body *exchanger.Body) error {
+		encodeLoad(&x.Response.Header, a.Load())
+		return x.Deliver(body)
+	}
 	x.OnDisconnect(func() { a.Cancel(run) })
 	if refusal, answered := a.Execute(run); !answered {
 		refusal.WriteResponse(&x.Response)
@@ -150,7 +156,7 @@
 		return refuse(classifier.SenderBehind, 0).refusal, false
 	}
 	if route, found := snapshot.Lookup(host, path); found {
-		r.route = route.Name
+		r.route, r.largeBody = route.Name, route.LargeBody
 	}
 	r.fingerprint = identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), r.Request.Body())
 	arrived := a.config.Clock.Now()
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -34,23 +34,28 @@
 
 // attempt is one attempt of an exchange.
 type attempt struct {
-	number   retrier.Attempt
-	id       identifier.AttemptID
-	member   registrar.Member
-	sentAt   timer.Millis
-	loadAge  timer.Millis
-	call     *exchanger.Call // Nil for the own instance.
-	run      *Run            // Nil for other instances.
-	response *fasthttp.Response
+	number retrier.Attempt
+	id     identifier.AttemptID
+	member registrar.Member
+	sentAt timer.Millis
+	// startedAt is when an attempt on the own instance started.
+	startedAt time.Time
+	loadAge   timer.Millis
+	call      *exchanger.Call // Nil for the own instance.
+	run       *Run            // Nil for other instances.
+	response  *fasthttp.Response
+	// body is set if the response's body is passed on as it arrives.
+	body *exchanger.Body
+	// latency is the time to the response, or to its head if it has a body.
+	latency time.Duration
 	// reason is the logged reason why no complete answer came.
 	reason classifier.Reason
 }
 
 // attemptResult is the end of an attempt.
 type attemptResult struct {
-	event    retrier.Event
-	attempt  retrier.Attempt
-	response *fasthttp.Response
+	event   retrier.Event
+	attempt *attempt // Nil if the event concerns no attempt.
 	// fault says that the answer reports a fault and another attempt may be made.
 	fault bool
 }
@@ -65,7 +70,8 @@
 	attempts  []*attempt
 	tried     []identifier.InstanceID
 	wakeTimer *time.Timer
-	answers   map[retrier.Attempt]*fasthttp.Response
+	// over is closed when the request has ended, so that no body is wanted any more.
+	over chan struct{}
 	// fault is a complete answer that reports a fault of the backend server. It is
 	// passed on if no other attempt gets a better one.
 	fault *fasthttp.Response
@@ -79,7 +85,7 @@
 			MaxAttempts: r.route.MaxAttempts, FreeRefusals: freeRefusals,
 		}, retrier.Budgets{Retries: lockedBudget{r.fleet}, Hedges: lockedBudget{r.fleet}}),
 		wakeTimer: time.NewTimer(time.Hour),
-		answers:   map[retrier.Attempt]*fasthttp.Response{},
+		over:      make(chan struct{}),
 	}
 }
 
@@ -87,6 +93,7 @@
 // response holds no answer.
 func (e *exchange) run() (encoder.Refusal, bool) {
 	defer e.wakeTimer.Stop()
+	defer close(e.over)
 	e.x.OnDisconnect(func() { e.events <- attemptResult{event: retrier.CallerGone{}} })
 	event := retrier.Event(retrier.Begin{})
 	for {
@@ -102,10 +109,8 @@
 			if _, refused := end.event.(retrier.NotRun); refused {
 				e.request.end.refused++
 			}
-			if end.response != nil && end.fault {
-				e.fault = end.response
-			} else if end.response != nil {
-				e.answers[end.attempt] = end.response
+			if end.fault {
+				e.fault = end.attempt.response
 			}
 			event = end.event
 		case <-e.wakeTimer.C:
@@ -141,14 +146,18 @@
 	e.request.end.attempts += len(e.attempts)
 	switch finish.Outcome {
 	case retrier.OutcomeComplete:
-		e.request.end.instance = string(e.attempts[finish.Attempt-1].member.Node)
-		e.answers[finish.Attempt].CopyTo(&e.x.Response)
+		a := e.attempts[finish.Attempt-1]
+		e.request.end.instance = string(a.member.Node)
+		moveResponse(&e.x.Response, a.response)
+		if a.body != nil {
+			e.deliver(a)
+		}
 		return encoder.Refusal{}, true
 	case retrier.OutcomeNotRun:
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: finish.Reason, RetryAfterMs: finish.RetryAfter}, false
 	case retrier.OutcomeUnknown:
 		if e.fault != nil {
-			e.fault.CopyTo(&e.x.Response)
+			moveResponse(&e.x.Response, e.fault)
 			return encoder.Refusal{}, true
 		}
 	}
@@ -187,18 +196,23 @@
 		},
 	}
 	request := &fasthttp.Request{}
-	e.x.Request.CopyTo(request)
+	e.x.Request.Header.CopyTo(&request.Header)
+	request.SetBodyRaw(e.x.Request.Body()) // Attempts only read it.
 	request.Header.SetNoDefaultContentType(true)
 	a.response = &fasthttp.Response{}
 	if member.Node == i.config.Self {
 		a.run = NewRun(details, request, a.response)
+		a.run.Memory = e.x.Memory()
+		a.run.Deliver = func(body *exchanger.Body) error { return e.offer(a, body) }
 		go e.local(a)
 		return true
 	}
 	details.Encode(&request.Header)
 	a.call = &exchanger.Call{
 		Request: request, Response: a.response, MaxReuseIdle: peerIdleTimeout,
-		Deadline: time.Now().Add((remaining + answerSlack).Duration()),
+		Deadline:  time.Now().Add((remaining + answerSlack).Duration()),
+		BodyLimit: i.config.Bodies.Total, BufferLimit: i.config.Bodies.bufferLimit(route.LargeBody),
+		Stream: true, Memory: e.x.Memory(),
 	}
 	go e.remote(a)
 	return true
@@ -212,13 +226,16 @@
 
 // local runs an attempt on the own instance.
 func (e *exchange) local(a *attempt) {
-	started := time.Now()
+	a.startedAt = time.Now()
 	refusal, answered := e.ingress.config.Admission.Execute(a.run)
-	if answered {
-		e.endAttempt(a, retrier.Answered{Attempt: a.number, Complete: true}, time.Since(started), selector.Complete)
-		return
+	switch {
+	case a.body != nil:
+		e.endBody(a)
+	case answered:
+		e.endAttempt(a, retrier.Answered{Attempt: a.number, Complete: true}, time.Since(a.startedAt), selector.Complete)
+	default:
+		e.handleRefusal(a, refusal, time.Since(a.startedAt))
 	}
-	e.handleRefusal(a, refusal, time.Since(started))
 }
 
 // remote sends an attempt to another daemon.
@@ -229,6 +246,15 @@
 	switch result {
 	case exchanger.Answered:
 		e.handleAnswer(a, latency)
+	case exchanger.Streaming:
+		a.body = a.call.Body
+		e.handleAnswer(a, latency)
+		if a.body == nil {
+			return
+		}
+		<-e.over
+		a.body.Close()
+		e.endBody(a)
 	case exchanger.ConnectionRefused, exchanger.NotSent:
 		e.request.fleet.eject(e.now(), a.member.Node)
 		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.ConnectionBroken}, latency, selector.NotRun)
@@ -251,7 +277,7 @@
 		return classifier.Deadline
 	case exchanger.Aborted:
 		return classifier.Canceled
-	case exchanger.Answered, exchanger.NotSent, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
+	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
 	}
 	return classifier.ConnectionBroken
 }
@@ -265,9 +291,17 @@
 	header.Del(encoder.HeaderLoad)
 	var refusal encoder.Refusal
 	if refusal.Decode(header) {
+		if a.body != nil {
+			a.body.Close()
+			a.body = nil
+		}
 		e.handleRefusal(a, refusal, latency)
 		return
 	}
+	if a.body != nil {
+		e.announceBody(a, latency)
+		return
+	}
 	e.endAttempt(a, retrier.Answered{Attempt: a.number, Complete: true}, latency, selector.Complete)
 }
 
@@ -307,13 +341,10 @@
 func (e *exchange) endAttempt(a *attempt, event retrier.Event, latency time.Duration, result selector.Result) {
 	e.request.fleet.recordAttemptEnd(e.now(), a.member.Node, latency, result)
 	e.recordAttempt(a, event)
-	end := attemptResult{event: event, attempt: a.number}
-	if result == selector.Complete {
-		end.response = a.response
-		if e.request.route.Idempotent && a.response.StatusCode() >= fasthttp.StatusInternalServerError {
-			end.fault = true
-			end.event = retrier.Answered{Attempt: a.number, Complete: false}
-		}
+	end := attemptResult{event: event, attempt: a}
+	if result == selector.Complete && e.request.route.Idempotent && a.response.StatusCode() >= fasthttp.StatusInternalServerError {
+		end.fault = true
+		end.event = retrier.Answered{Attempt: a.number, Complete: false}
 	}
 	e.events <- end
 }
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -25,9 +25,12 @@
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Slowed}, false
 	}
 	started, before := a.config.Clock.Now(), a.Load()
-	result, reused := a.send(r, d)
+	call, result := a.send(r, d)
 	latency := a.config.Clock.Now() - started
 	end := a.classifyResult(r, result)
+	if result == exchanger.Streaming {
+		end = deliverBody(r, call.Body, end)
+	}
 	if end.result == admitter.Crashed && !a.unreachable() {
 		end.result = admitter.Failed
 	}
@@ -36,7 +39,7 @@
 	}
 	a.finish(r, d, end.result, latency)
 	record.started, record.result, record.reason = true, end.result, end.refusal.Reason
-	record.ran, record.reused = latency, reused
+	record.ran, record.reused, record.streamed = latency, call.Reused, result == exchanger.Streaming
 	if end.answered {
 		record.status = r.Response.StatusCode()
 	}
@@ -60,7 +63,7 @@
 
 // send sends an attempt once. A reused connection that broke may have delivered
 // the request, so a retry is left to the sender's budget.
-func (a *Admission) send(r *Run, d decision) (result exchanger.Result, reused bool) {
+func (a *Admission) send(r *Run, d decision) (*exchanger.Call, exchanger.Result) {
 	id := bytes.Clone(a.config.Dialect.RequestID(&r.Request.Header))
 	deadline := time.Now().Add(d.remaining.Duration())
 	reuse := nonIdempotentReuse
@@ -71,12 +74,33 @@
 	call := &exchanger.Call{
 		Request: r.Request, Response: r.Response, Deadline: deadline, MaxReuseIdle: reuse,
 		MatchResponse: func(header *fasthttp.ResponseHeader) bool { return a.config.Dialect.MatchesRequest(header, id) },
+		BodyLimit:     a.config.Bodies.Total, BufferLimit: a.config.Bodies.bufferLimit(r.largeBody),
+		Stream: r.Deliver != nil, Memory: r.Memory,
 	}
 	if !r.attach(call) {
-		return exchanger.NotSent, false
+		return call, exchanger.NotSent
+	}
+	return call, a.pool.Do(call)
+}
+
+// deliverBody passes on a response as its body arrives. It returns how the run ended,
+// which is known only at the end of the body.
+func deliverBody(r *Run, body *exchanger.Body, end runEnd) runEnd {
+	if !end.answered {
+		body.Close()
+		return end
 	}
-	result = a.pool.Do(call)
-	return result, call.Reused
+	_ = r.Deliver(body) // The body's result says why it failed.
+	switch body.Result() {
+	case exchanger.TimedOut:
+		end.result, end.refusal.Reason = admitter.TimedOut, classifier.Deadline
+	case exchanger.Aborted:
+		end.result, end.refusal.Reason = admitter.TimedOut, classifier.CallerGone
+	case exchanger.Incomplete:
+		end.result, end.refusal.Reason = admitter.Failed, classifier.IncompleteAnswer
+	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
+	}
+	return end
 }
 
 // runEnd is the result of a started attempt.
@@ -96,7 +120,7 @@
 
 func (a *Admission) classifyResult(r *Run, result exchanger.Result) runEnd {
 	switch result {
-	case exchanger.Answered:
+	case exchanger.Answered, exchanger.Streaming:
 		return a.classifyAnswer(r)
 	case exchanger.NotSent:
 		return notRun(admitter.TimedOut, classifier.ConnectionBroken)
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -23,6 +23,8 @@
 	// unknownCheckInterval is the interval while the backend server's state is not known.
 	unknownCheckInterval = 100 * timer.Millis(1)
 	healthTimeout        = 800 * timer.Millis(1)
+	// maxHealthBytes bounds the body of a health check's response, which is not used.
+	maxHealthBytes = 64 << 10
 	// maxLoadAge is the age up to which a start relies on the known load. The
 	// slowdown of shared hosts changes every half second, so about one start in
 	// twenty meets another slowdown than the known one.
@@ -84,7 +86,7 @@
 	request.Header.SetRequestURI(service.HealthPath)
 	request.Header.SetHost(string(a.config.Address))
 	result := a.pool.Do(&exchanger.Call{
-		Request: request, Response: response, MaxReuseIdle: backendIdleTimeout,
+		Request: request, Response: response, MaxReuseIdle: backendIdleTimeout, BodyLimit: maxHealthBytes,
 		Deadline: time.Now().Add(healthTimeout.Duration()),
 	})
 	switch result {
@@ -93,7 +95,7 @@
 		a.applyHealth(a.config.Dialect.Health(response))
 	case exchanger.ConnectionRefused:
 		a.setDown("health check refused")
-	case exchanger.NotSent, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
+	case exchanger.Streaming, exchanger.NotSent, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
 	}
 	a.mu.Lock()
 	a.checkDone = nil
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -52,6 +52,7 @@
 	Peers         *Peers
 	Admission     *Admission
 	Dialect       Dialect
+	Bodies        BodyLimits
 	Retries       RetryBudget
 	// OnNewerConfiguration is called when an instance has a newer configuration.
 	OnNewerConfiguration func(registrar.Member)
--- a/internal/transport/dispatcher/observer.go
+++ b/internal/transport/dispatcher/observer.go
@@ -62,7 +62,9 @@
 	attempts int
 	instance string
 	// refused is the number of attempts that were refused before a start.
-	refused    int
+	refused int
+	// streamed says that the response was passed on as it arrived.
+	streamed   bool
 	retryAfter timer.Millis
 	timeLeft   timer.Millis
 	elapsed    timer.Millis
@@ -83,7 +85,7 @@
 		slog.Uint64("version", e.version), slog.String("outcome", string(e.outcome)), slog.String("reason", string(e.reason)),
 		slog.Int("status", e.status), slog.Int("attempts", e.attempts), slog.Int("refused", e.refused),
 		slog.String("instance", e.instance), slog.Int64("retry_after_ms", int64(e.retryAfter)),
-		slog.Int64("time_left_ms", int64(e.timeLeft)), slog.Int64("elapsed_ms", int64(e.elapsed)))
+		slog.Bool("streamed", e.streamed), slog.Int64("time_left_ms", int64(e.timeLeft)), slog.Int64("elapsed_ms", int64(e.elapsed)))
 }
 
 // attemptEnd is how an attempt ended, as its sender sees it.
@@ -135,7 +137,9 @@
 	waited  timer.Millis
 	ran     timer.Millis
 	reused  bool
-	status  int
+	// streamed says that the response was passed on as it arrived.
+	streamed bool
+	status   int
 }
 
 // admissionEnded records the end of an attempt at admission.
@@ -157,5 +161,6 @@
 		slog.Int("running", int(e.load.Running)), slog.Int("queued", int(e.load.Queued)), slog.Int("limit", int(e.load.Limit)),
 		slog.Int("slowdown_percent", int(e.load.SlowdownPercent)), slog.Bool("cold", e.load.Cold),
 		slog.Int64("load_age_ms", int64(e.loadAge)), slog.Int64("waited_ms", int64(e.waited)),
-		slog.Int64("ran_ms", int64(e.ran)), slog.Bool("reused_connection", e.reused))
+		slog.Int64("ran_ms", int64(e.ran)), slog.Bool("reused_connection", e.reused),
+		slog.Bool("streamed", e.streamed))
 }
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -17,11 +17,19 @@
 	Attempt  encoder.Attempt
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
+	// Memory holds the bytes of the buffered response.
+	Memory *exchanger.Reservation
+	// Deliver passes on Response with a body that is read as it arrives. It returns
+	// after the body has ended or is no longer wanted. If it is nil, responses are
+	// buffered as a whole.
+	Deliver func(body *exchanger.Body) error
 
 	fingerprint identifier.Fingerprint
 	// route is the name of the route in this daemon's configuration.
-	route   string
-	decided chan decision
+	route string
+	// largeBody is taken from that route.
+	largeBody bool
+	decided   chan decision
 
 	mu       sync.Mutex
 	call     *exchanger.Call
--- a/internal/transport/exchanger/call.go
+++ b/internal/transport/exchanger/call.go
@@ -16,6 +16,8 @@
 const (
 	// Answered means that the whole response was read.
 	Answered Result = iota
+	// Streaming means that the response's head was read and that Call.Body has the body.
+	Streaming
 	// NotSent means that no byte of the request was written.
 	NotSent
 	// ConnectionRefused means that no byte was written because nothing listens at
@@ -23,7 +25,8 @@
 	ConnectionRefused
 	// ConnectionBroken means that the connection ended before the response began.
 	ConnectionBroken
-	// Incomplete means that the response ended early or is not valid HTTP.
+	// Incomplete means that the response ended early, is not valid HTTP or is larger
+	// than allowed.
 	Incomplete
 	// TimedOut means that the deadline passed after a byte was written.
 	TimedOut
@@ -43,7 +46,17 @@
 	// MatchResponse reports whether a response is to this request. Others are read
 	// and discarded. Nil accepts the first response.
 	MatchResponse func(*fasthttp.ResponseHeader) bool
+	// BodyLimit bounds the response's body in bytes. Zero means defaultBodyLimit.
+	BodyLimit int64
+	// Stream allows the result Streaming for a body of more than BufferLimit bytes, or
+	// one that Memory has no room for. Without it, such a body makes the call fail.
+	Stream      bool
+	BufferLimit int64
+	// Memory holds the bytes of the buffered body. Nil has no bound but BodyLimit.
+	Memory *Reservation
 
+	// Body is set if the result is Streaming. It must be read to its end or closed.
+	Body *Body
 	// Reused reports whether the call was sent on a pooled connection.
 	Reused bool
 
@@ -52,6 +65,17 @@
 	aborted bool
 }
 
+// defaultBodyLimit is far above the responses of health checks and of queries to
+// other daemons.
+const defaultBodyLimit = 1 << 20
+
+func (c *Call) bodyLimit() int64 {
+	if c.BodyLimit > 0 {
+		return c.BodyLimit
+	}
+	return defaultBodyLimit
+}
+
 // Abort ends the call by resetting its connection. It does not block.
 func (c *Call) Abort() {
 	c.mu.Lock()
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -22,6 +23,10 @@
 	// maxResponses bounds the responses that are read for one request, including
 	// skipped ones to earlier requests.
 	maxResponses = 4
+	// maxInterim bounds the interim responses (1xx) before a response.
+	maxInterim = 8
+	// maxDiscarded bounds the body of a response to another request.
+	maxDiscarded = 1 << 20
 	readBuffer   = 8 << 10
 	// keepAliveMargin is subtracted from the idle timeout that a destination
 	// announces in whole seconds.
@@ -41,6 +46,8 @@
 	idleLimit time.Duration
 	// noReuse means that the connection must not carry another request.
 	noReuse bool
+	// written receives the result of writing the current request.
+	written chan error
 }
 
 func newConnection(conn net.Conn) *connection {
@@ -63,39 +70,45 @@
 // abort closes the connection with a reset. After a plain close, the kernel could
 // still deliver the request when a network outage ends.
 func (c *connection) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // Fails only on a closed connection.
-	}
+	resetOnClose(c.Conn)
 	_ = c.Close() // It may be closed already.
 }
 
-// do writes a request and reads its response.
+// do writes a request and reads its response. If the result is Streaming, the rest of
+// the body is read by call.Body and settleWrite has to be called after it.
 func (c *connection) do(call *Call) Result {
 	_ = c.SetDeadline(call.Deadline) // Fails only on a closed connection, as the write does.
-	written := make(chan error, 1)
+	c.written = make(chan error, 1)
 	if len(call.Request.Body()) <= maxBodyBeforeRead {
 		if n, err := c.send(call.Request); err != nil {
 			return c.fail(err, n == 0, ConnectionBroken)
 		}
-		written <- nil
+		c.written <- nil
 	} else {
 		go func() {
 			_, err := c.send(call.Request)
-			written <- err
+			c.written <- err
 		}()
 	}
 	result := c.receive(call)
+	if result != Streaming {
+		c.settleWrite()
+	}
+	return result
+}
+
+// settleWrite ends the writing of the request after the response was read.
+func (c *connection) settleWrite() {
 	select {
-	case err := <-written:
+	case err := <-c.written:
 		c.noReuse = c.noReuse || err != nil
 	default:
 		// The destination responded before it had read the body. The rest of the
 		// body must not be taken for the next request.
 		c.noReuse = true
 		_ = c.Close()
-		<-written
+		<-c.written
 	}
-	return result
 }
 
 // countingWriter counts the bytes written to a connection.
@@ -127,24 +140,26 @@
 // receive reads the response to the call's request.
 func (c *connection) receive(call *Call) Result {
 	for range maxResponses {
-		result := c.receiveOne(call)
-		if result != Answered {
+		if result := c.receiveHead(call); result != Answered {
 			return result
 		}
 		if call.MatchResponse == nil || call.MatchResponse(&call.Response.Header) {
-			c.updateReuse(call.Response)
-			return Answered
+			return c.receiveBody(call)
 		}
 		// This is a late response to an earlier request; the call's own follows.
 		c.noReuse = true
+		if result := c.discardBody(call); result != Answered {
+			return result
+		}
 		call.Response.Reset()
 	}
 	return Incomplete
 }
 
-func (c *connection) receiveOne(call *Call) Result {
+// receiveHead reads the head of a response that is not interim.
+func (c *connection) receiveHead(call *Call) Result {
 	header := &call.Response.Header
-	for {
+	for range maxInterim {
 		if _, err := c.reader.Peek(1); err != nil {
 			return c.fail(err, false, ConnectionBroken)
 		}
@@ -152,28 +167,71 @@
 			return c.fail(err, false, Incomplete)
 		}
 		if header.StatusCode() >= minFinalStatus {
-			break
+			return Answered
 		}
 	}
-	if call.Request.Header.IsHead() || skipsBody(header.StatusCode()) {
+	c.noReuse = true
+	return Incomplete
+}
+
+// receiveBody reads the body of the call's response: up to call.BufferLimit or to the
+// end of the available memory if the call streams, and otherwise as a whole.
+func (c *connection) receiveBody(call *Call) Result {
+	header := &call.Response.Header
+	if hasNoBody(call) {
 		call.Response.SkipBody = true
+		c.updateReuse(call.Response)
 		return Answered
 	}
 	length := header.ContentLength()
-	if err := call.Response.ReadBody(c.reader, 0); err != nil {
+	reader := newBodyReader(c.reader, length, call.bodyLimit())
+	if call.Stream && int64(length) > call.BufferLimit && reader.err == nil {
+		return c.stream(call, reader, nil)
+	}
+	limit := call.bodyLimit() + 1
+	if call.Stream {
+		limit = call.BufferLimit + 1
+	}
+	buffered, err := reader.readUpTo(limit, call.Memory)
+	switch {
+	case err == nil && call.Stream, errors.Is(err, errNoMemory) && call.Stream:
+		return c.stream(call, reader, buffered)
+	case !errors.Is(err, io.EOF):
 		return c.fail(err, false, Incomplete)
 	}
-	switch length {
-	case -1:
-		if err := header.ReadTrailer(c.reader); err != nil {
-			return c.fail(err, false, Incomplete)
-		}
-	case -2:
-		c.noReuse = true // The body ended with the connection.
+	if length == lengthUntilClose {
+		c.noReuse = true
 	}
+	call.Response.SetBodyRaw(buffered)
+	c.updateReuse(call.Response)
 	return Answered
 }
 
+// stream leaves the rest of a response's body to call.Body.
+func (c *connection) stream(call *Call, reader *bodyReader, buffered []byte) Result {
+	if reader.length == lengthUntilClose {
+		c.noReuse = true
+	}
+	call.Body = &Body{Length: max(reader.length, lengthChunked), buffered: buffered, reader: reader}
+	return Streaming
+}
+
+// discardBody reads and discards the body of a response to another request.
+func (c *connection) discardBody(call *Call) Result {
+	if hasNoBody(call) {
+		return Answered
+	}
+	reader := newBodyReader(c.reader, call.Response.Header.ContentLength(), maxDiscarded)
+	if _, err := io.Copy(io.Discard, reader); err != nil {
+		return c.fail(err, false, Incomplete)
+	}
+	return Answered
+}
+
+func hasNoBody(call *Call) bool {
+	return call.Request.Header.IsHead() || skipsBody(call.Response.StatusCode())
+}
+
 func skipsBody(status int) bool {
 	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
--- a/internal/transport/exchanger/exchange.go
+++ b/internal/transport/exchanger/exchange.go
@@ -29,13 +29,52 @@
 	// Close closes the connection after the response.
 	Close bool
 
-	conn *serverConn
-	turn chan struct{} // Closed when all earlier exchanges have their response.
+	conn   *serverConn
+	memory *Reservation
+	turn   chan struct{} // Closed when all earlier exchanges have their response.
 
 	mu           sync.Mutex
 	disconnected bool
 	onDisconnect []func()
-	done         bool // Guarded by the connection's lock.
+	// The fields below are guarded by the connection's lock.
+	done bool
+	body *Body
+	// settled is closed when the response was written or cannot be written any more.
+	// It is nil if nobody waits for that.
+	settled  chan struct{}
+	writeErr error
+}
+
+// errDisconnected is the error of a response whose caller has disconnected.
+var errDisconnected = Error.New("the caller has disconnected")
+
+// Memory returns the memory held for the exchange. It is freed after the response.
+func (x *Exchange) Memory() *Reservation { return x.memory }
+
+// Deliver sends Response with a body that is passed on as it arrives, in the turn of
+// the exchange, and returns after the end of the body. After an error the caller's
+// connection is reset, so that the response does not look complete.
+func (x *Exchange) Deliver(body *Body) error {
+	defer body.Close()
+	settled := make(chan struct{})
+	x.conn.mu.Lock()
+	x.body, x.settled = body, settled
+	if !x.conn.isPending(x) {
+		x.settle(errDisconnected)
+	}
+	x.conn.mu.Unlock()
+	x.conn.finish(x)
+	<-settled
+	return x.writeErr
+}
+
+// settle ends Deliver. The connection's lock must be held.
+func (x *Exchange) settle(err error) {
+	if x.settled != nil {
+		x.writeErr = err
+		close(x.settled)
+		x.settled = nil
+	}
 }
 
 // AwaitTurn waits until all earlier requests of the connection have their
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -68,7 +68,8 @@
 	return p
 }
 
-// Do sends a request and reads the whole response.
+// Do sends a request and reads the response: the whole of it, or its head if the
+// result is Streaming.
 func (p *Pool) Do(call *Call) Result {
 	if call.isAborted() {
 		return NotSent
@@ -86,17 +87,36 @@
 		return NotSent
 	}
 	result := conn.do(call)
-	if call.detach() {
-		conn.abort() // Abort may have closed it already.
-		if result != Answered && result != NotSent {
-			return Aborted
+	if result == Streaming {
+		call.Body.release = func(end Result) Result {
+			if end != Answered {
+				conn.noReuse = true
+				conn.abort() // After a plain close, the destination could go on sending.
+			}
+			conn.settleWrite()
+			if end == Answered {
+				conn.updateReuse(call.Response)
+			}
+			return p.finish(call, conn, epoch, end)
 		}
-		return result
+		return Streaming
 	}
 	if result == TimedOut {
 		conn.abort()
 		p.CloseIdle() // The other connections may be unresponsive too.
 	}
+	return p.finish(call, conn, epoch, result)
+}
+
+// finish ends the use of a connection by a call.
+func (p *Pool) finish(call *Call, conn *connection, epoch uint64, result Result) Result {
+	if call.detach() {
+		conn.abort() // Abort may have closed it already.
+		conn.noReuse = true
+		if result != Answered && result != NotSent {
+			result = Aborted
+		}
+	}
 	p.release(conn, epoch)
 	return result
 }
--- a/internal/transport/exchanger/server.go
+++ b/internal/transport/exchanger/server.go
@@ -31,6 +31,8 @@
 	Malformed Problem = iota
 	HeaderTooLarge
 	BodyTooLarge
+	// OutOfMemory means that the bodies of other requests use the memory.
+	OutOfMemory
 )
 
 // ServerConfig holds what a Server needs.
@@ -40,6 +42,8 @@
 	Limits func() Limits
 	// Reject sets the response to a request that could not be read.
 	Reject func(response *fasthttp.Response, problem Problem)
+	// Memory bounds the bodies of requests and of the responses to them.
+	Memory *Memory
 	Clock  timer.Clock
 	Logger *slog.Logger
 }
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -67,17 +69,19 @@
 			}
 			break
 		}
-		x := &Exchange{conn: c, turn: closedTurn}
+		x := &Exchange{conn: c, turn: closedTurn, memory: c.server.config.Memory.NewReservation()}
 		if problem, ok := c.read(x); !ok {
 			if problem != nil {
 				c.reject(x, *problem)
 			}
+			x.memory.Close()
 			return
 		}
 		x.ReceivedAt = c.server.config.Clock.Now()
 		last := x.Request.Header.ConnectionClose() || !x.Request.Header.IsHTTP11()
 		x.Close = last
 		if !c.enqueue(x) {
+			x.memory.Close()
 			break // It arrived after the last response was started and is discarded.
 		}
 		go c.handle(x)
@@ -138,7 +142,8 @@
 	if ambiguous(header) {
 		return problemPointer(Malformed), false
 	}
-	if header.ContentLength() > c.limits.BodyBytes {
+	length := header.ContentLength()
+	if length > c.limits.BodyBytes {
 		return problemPointer(BodyTooLarge), false
 	}
 	if x.Request.MayContinue() {
@@ -147,13 +152,27 @@
 		}
 		header.Del(fasthttp.HeaderExpect)
 	}
-	if err := x.Request.ContinueReadBody(c.reader, c.limits.BodyBytes, false); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return problemPointer(BodyTooLarge), false
+	if length == lengthUntilClose {
+		return nil, true // A request without a length has no body (RFC 9112, section 6.3).
+	}
+	return c.readBody(x, length)
+}
+
+func (c *serverConn) readBody(x *Exchange, length int) (*Problem, bool) {
+	reader := newBodyReader(c.reader, length, int64(c.limits.BodyBytes))
+	body, err := reader.readUpTo(int64(c.limits.BodyBytes)+1, x.memory)
+	switch {
+	case errors.Is(err, io.EOF):
+		if len(body) > 0 {
+			x.Request.SetBodyRaw(body)
 		}
-		return readProblem(err), false
+		return nil, true
+	case err == nil, errors.Is(err, errBodyTooLarge):
+		return problemPointer(BodyTooLarge), false
+	case errors.Is(err, errNoMemory):
+		return problemPointer(OutOfMemory), false
 	}
-	return nil, true
+	return readProblem(err), false
 }
 
 func problemPointer(p Problem) *Problem { return &p }
@@ -238,10 +257,12 @@
 		last := head.Close || c.server.closing.Load() && len(c.pending) == 1 && !c.reading
 		c.closed = last
 		c.mu.Unlock()
-		written := c.write(head, last)
+		err := c.write(head, last)
+		head.memory.Close()
 		c.mu.Lock()
 		c.pending = c.pending[1:]
-		c.closed = c.closed || !written
+		c.closed = c.closed || err != nil
+		head.settle(err)
 		if len(c.pending) > 0 && !c.closed {
 			c.pending[0].giveTurn()
 		}
@@ -253,36 +274,50 @@
 	}
 }
 
-// write sends a response and reports whether it succeeded. If it is the last one,
-// write also closes the connection's sending side.
-func (c *serverConn) write(x *Exchange, last bool) bool {
+// write sends a response. If it is the last one, write also closes the connection's
+// sending side.
+func (c *serverConn) write(x *Exchange, last bool) error {
 	if last {
 		x.Response.SetConnectionClose()
 	}
 	x.Response.Header.SetNoDefaultContentType(true)
-	c.setWriteTimeout()
-	w := writers.Get().(*bufio.Writer)
-	defer writers.Put(w)
-	w.Reset(c.conn)
-	err := x.Response.Write(w)
-	if err == nil {
-		err = w.Flush()
+	var err error
+	if x.body != nil {
+		err = c.writeStream(x)
+	} else {
+		err = c.writeBuffered(x)
 	}
-	w.Reset(nil)
 	if err != nil {
 		_ = c.conn.Close() // This also ends the reading goroutine.
-		return false
+		return err
 	}
 	if !last {
-		return true
+		return nil
 	}
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // Signals the end to the caller; a failed connection ends anyway.
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration()))
-	return true
+	return nil
 }
 
+func (c *serverConn) writeBuffered(x *Exchange) error {
+	c.setWriteTimeout()
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(c.conn)
+	err := x.Response.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	w.Reset(nil)
+	return err
+}
+
+// isPending reports whether an exchange may still get its response. The connection's
+// lock must be held.
+func (c *serverConn) isPending(x *Exchange) bool { return slices.Contains(c.pending, x) }
+
 // disconnectPending marks the requests after the last response as disconnected,
 // since they get no response. The connection's lock must be held.
 func (c *serverConn) disconnectPending() {
@@ -290,6 +325,7 @@
 		// giveTurn comes last, so that AwaitTurn sees the disconnect.
 		go callAll(x.markDisconnected())
 		x.giveTurn()
+		x.settle(errDisconnected)
 	}
 	c.pending = nil
 	c.notFull.Broadcast()
@@ -319,9 +355,12 @@
 	}
 	c.notFull.Broadcast()
 	var functions []func()
-	for _, x := range pending {
+	for i, x := range pending {
 		functions = append(functions, x.markDisconnected()...)
 		x.giveTurn()
+		if !c.writing || i > 0 {
+			x.settle(errDisconnected) // The first one is settled after its write.
+		}
 	}
 	c.mu.Unlock()
 	_ = c.conn.Close() // Nothing is read or written after this.
