Keep decisions independent of steps of the time of day

Cause, shown by tests: a daemon that starts after its clock was set back takes an incarnation below that of its earlier run. The store then refuses its registration and the other daemons ignore its reports, for good. An instance whose run seems to have started before the known one is ignored in the same way, and quarantine entries expire early or late.

Change: a daemon that learns of a higher incarnation of itself at its own address, from the directory or from a member that returns the report, takes a higher one and registers again. The new package orderer decides which announcements are current: a run that keeps announcing itself over 3 s, or whose id the health page gives, is current although its start seems earlier. Admission reads a Unix time that follows the monotonic clock.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 
@@ -43,9 +44,13 @@
 	Refresh()
 }
 
+// ErrSuperseded is returned by Directory.Register if an entry of a higher incarnation
+// of this daemon is stored.
+var ErrSuperseded = errors.New("a run of this daemon with a higher incarnation is registered")
+
 // Directory stores the descriptions of daemons so that they find each other.
 type Directory interface {
-	// Register stores the description of this daemon.
+	// Register stores the description of this daemon. It may return ErrSuperseded.
 	Register(ctx context.Context, m registrar.Member) error
 	// Members returns the stored descriptions, including that of this daemon.
 	Members(ctx context.Context) ([]registrar.Member, error)
@@ -92,9 +97,11 @@
 
 // Daemon runs beside one backend server.
 type Daemon struct {
-	config        Config
-	clock         *timer.Boot
-	incarnation   identifier.Incarnation
+	config Config
+	clock  *timer.Boot
+	// incarnation is raised if an earlier run of this daemon has a higher one, after the
+	// time of day was set back.
+	incarnation   atomic.Uint64
 	configuration *router.Holder
 	admission     *dispatcher.Admission
 	ingress       *dispatcher.Ingress
@@ -116,17 +123,18 @@
 	clock := timer.NewBoot()
 	d := &Daemon{
 		config: config, clock: clock,
-		incarnation:   identifier.NewIncarnation(clock.Wall()),
 		configuration: router.NewHolder(),
 		peers:         dispatcher.NewPeers(),
 		reregister:    make(chan struct{}, 1),
 	}
+	incarnation := identifier.NewIncarnation(clock.Wall())
+	d.incarnation.Store(uint64(incarnation))
 	d.admission = dispatcher.NewAdmission(dispatcher.AdmissionConfig{
 		Member: registrar.Member{
-			Node: config.Node, Incarnation: d.incarnation, FailureDomain: config.FailureDomain, Region: config.Region,
+			Node: config.Node, Incarnation: incarnation, FailureDomain: config.FailureDomain, Region: config.Region,
 			Peer: config.Addresses.Peers, Report: config.Addresses.Reports, Service: config.Service,
 		},
-		Address: config.Addresses.Backend, Clock: clock, Configuration: d.configuration, Dialect: config.Dialect, Bodies: config.Bodies,
+		Address: config.Addresses.Backend, Clock: timer.NewSteady(clock), Configuration: d.configuration, Dialect: config.Dialect, Bodies: config.Bodies,
 		LoadCheckTimeout: config.LoadCheck, OnChange: d.triggerBroadcast, OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
 	var err error
@@ -134,6 +142,7 @@
 		Address: config.Addresses.Reports, Clock: clock,
 		Self:     d.self,
 		Position: d.position, Ahead: d.scheduleFetch, Loaded: func(m registrar.Member) { d.ingress.RecordLoad(m) },
+		Superseded:  d.supersede,
 		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
 	})
 	if err != nil {
@@ -141,7 +150,7 @@
 	}
 	config.Source.SetElected(d.gossiper.Elected)
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
-		Self: config.Node, Caller: config.Service, Incarnation: d.incarnation, FailureDomain: config.FailureDomain,
+		Self: config.Node, Caller: config.Service, Incarnation: incarnation, FailureDomain: config.FailureDomain,
 		Clock: clock, Configuration: d.configuration, Members: d.gossiper, Peers: d.peers, Admission: d.admission,
 		Dialect: config.Dialect, Bodies: config.Bodies, Retries: config.Retries, OnNewerConfiguration: d.scheduleFetch, Logger: config.Logger,
 	})
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -26,7 +27,10 @@
 func (d *Daemon) join(ctx context.Context) {
 	membersKnown := false
 	for ctx.Err() == nil {
-		if !d.register(ctx) || !membersKnown && !d.readDirectory(ctx) {
+		if err := d.register(ctx); err != nil || !membersKnown && !d.readDirectory(ctx) {
+			if errors.Is(err, ErrSuperseded) {
+				d.readDirectory(ctx) // It holds the higher incarnation; see supersede.
+			}
 			membersKnown = membersKnown || d.fetchFromKnownMember()
 			time.Sleep((directoryRetry + timer.Millis(rand.Int64N(int64(directoryJitter)))).Duration())
 			continue
@@ -39,16 +43,16 @@
 	}
 }
 
-func (d *Daemon) register(ctx context.Context) bool {
+func (d *Daemon) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout.Duration())
 	defer cancel()
 	m, _ := d.admission.Member()
 	if err := d.config.Directory.Register(ctx, m); err != nil {
 		d.config.Logger.Warn("registration in the directory failed", "error", err.Error())
-		return false
+		return err
 	}
 	d.config.Logger.Info("registered", "leaving", m.Leaving, "backend", m.Backend)
-	return true
+	return nil
 }
 
 func (d *Daemon) readDirectory(ctx context.Context) bool {
@@ -76,7 +80,8 @@
 // of the backend server, so it is applied again.
 func (d *Daemon) addMembers(members []registrar.Member) {
 	for _, m := range members {
-		if m.Node == d.config.Node && m.Incarnation < d.incarnation && m.Leaving {
+		d.supersede(m)
+		if m.Node == d.config.Node && uint64(m.Incarnation) < d.incarnation.Load() && m.Leaving {
 			d.Announce(dispatcher.Backend{
 				ID: m.Backend, Incarnation: m.BackendStart, Slots: m.Slots, State: admitter.Draining,
 			})
@@ -85,6 +90,32 @@
 	d.gossiper.AddMembers(members)
 }
 
+// supersede raises this daemon's incarnation above that of an earlier run of it. The
+// earlier run has a higher one if the time of day was set back in between; without the
+// change, the store and the other daemons would ignore this one. A daemon on another
+// VM with the same name is not an earlier run.
+func (d *Daemon) supersede(m registrar.Member) {
+	if m.Node != d.config.Node || m.Peer != d.config.Addresses.Peers {
+		return
+	}
+	for {
+		own := d.incarnation.Load()
+		if uint64(m.Incarnation) <= own {
+			return
+		}
+		next := identifier.Incarnation(uint64(m.Incarnation) + 1)
+		if !d.incarnation.CompareAndSwap(own, uint64(next)) {
+			continue
+		}
+		d.config.Logger.Warn("an earlier run has a higher incarnation; the time of day was probably set back", "incarnation", next, "before", own)
+		d.admission.SetIncarnation(next)
+		d.ingress.SetIncarnation(next)
+		d.requestRegistration()
+		d.triggerBroadcast()
+		return
+	}
+}
+
 func (d *Daemon) recordAttempt(sender identifier.Incarnation) { d.gossiper.RecordAttemptFrom(sender) }
 
 func (d *Daemon) broadcastQuarantine(entries []quarantiner.Entry) {
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -82,6 +82,8 @@
 	// Loaded is called with the state of each member whose datagram arrived, and with
 	// that of this daemon at each broadcast.
 	Loaded func(registrar.Member)
+	// Superseded is called with a report of another run of this daemon.
+	Superseded func(registrar.Member)
 	// Quarantined is called with entries of members of the same service.
 	Quarantined func([]quarantiner.Entry)
 	Logger      *slog.Logger
@@ -93,6 +95,8 @@
 	conn    *net.UDPConn
 	trigger chan struct{}
 
+	self identifier.InstanceID
+
 	mu      sync.Mutex
 	table   *registrar.Registrar
 	users   map[identifier.Incarnation]timer.Millis
@@ -119,7 +123,7 @@
 	}
 	return &Gossiper{
 		config: config, conn: conn, trigger: make(chan struct{}, 1),
-		table: registrar.New(config.Self().Node),
+		self: config.Self().Node, table: registrar.New(config.Self().Node),
 		users: map[identifier.Incarnation]timer.Millis{},
 	}, nil
 }
@@ -420,9 +424,17 @@
 	m := report.Member
 	g.mu.Lock()
 	change := g.table.Observe(g.config.Clock.Now(), m)
+	known, found := g.table.Lookup(m.Node)
 	g.mu.Unlock()
+	if m.Node == g.self {
+		g.config.Superseded(m)
+		return
+	}
 	switch change {
 	case registrar.Stale:
+		if found && known.Incarnation > m.Incarnation && known.Peer == m.Peer {
+			g.returnReport(m.Report, known)
+		}
 		return
 	case registrar.Joined, registrar.Restarted:
 		g.config.Logger.Info("member joined", "member", m.Node, "service", m.Service, "incarnation", m.Incarnation)
@@ -438,6 +450,17 @@
 	g.checkPosition(report.Position, m)
 }
 
+// returnReport sends a daemon the report of another run of it, so that it can take a
+// higher incarnation.
+func (g *Gossiper) returnReport(to identifier.Address, known registrar.Member) {
+	data, err := Report{Member: known}.encode()
+	if err != nil {
+		g.config.Logger.Error("report could not be encoded", "error", err.Error())
+		return
+	}
+	g.send(to, data)
+}
+
 // sendReport sends a report to a member that may not know this daemon.
 func (g *Gossiper) sendReport(m registrar.Member) {
 	if data, ok := g.report(g.config.Self()); ok {
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -8,6 +8,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/orderer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -43,9 +44,6 @@
 	State    admitter.BackendState
 	// ColdFor is how long it stays cold.
 	ColdFor timer.Millis
-	// presumedIncarnation says that Incarnation is the time of a leave; the run began
-	// before it.
-	presumedIncarnation bool
 }
 
 // AdmissionConfig configures an Admission.
@@ -82,6 +80,8 @@
 	estimator   *estimator.Estimator
 	runs        map[identifier.AttemptID]*Run
 	backend     Backend
+	// order decides which announcements of the backend server are current.
+	order *orderer.Orderer
 	// down says that the backend server cannot be reached or that another one has its
 	// address. The next announcement or good health answer resets it.
 	down      bool
@@ -110,6 +110,7 @@
 		admitter:    admitter.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		estimator:   estimator.New(),
+		order:       orderer.New(),
 		runs:        map[identifier.AttemptID]*Run{},
 	}
 }
@@ -338,51 +339,34 @@
 func (a *Admission) Announce(b Backend) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.config.Clock.Now()
-	known := a.backend
-	if b.Incarnation == 0 {
-		switch {
-		case known.ID == "":
-			return a.recordUnknownLeave(b)
-		case known.ID != b.ID || known.presumedIncarnation:
-			return false // From an earlier backend server on this VM, or repeated.
-		}
-		b.Incarnation = known.Incarnation
+	now, known := a.config.Clock.Now(), a.backend
+	unknown := !a.order.Known() && b.Incarnation == 0
+	run, current := a.order.Accept(now, a.config.Clock.Wall(), orderer.Announcement{
+		Backend: b.ID, Start: b.Incarnation, Sequence: b.Sequence, Leaving: b.State == admitter.Draining,
+	})
+	if !current {
+		return false
 	}
+	b.Incarnation = a.order.Start()
 	if b.Slots == 0 && known.ID == b.ID {
 		b.Slots = known.Slots // A leave does not report slots.
 	}
-	if known.presumedIncarnation && known.ID != b.ID {
-		known.Incarnation = 0
-	}
-	if b.Incarnation < known.Incarnation || b.Incarnation == known.Incarnation && b.Sequence < known.Sequence {
-		return false
-	}
-	if b.Incarnation == known.Incarnation && b.State < known.State {
-		return false
-	}
 	a.backend = b
+	if unknown {
+		a.config.Logger.Info("leave of an unannounced backend server", "backend", b.ID)
+		return true
+	}
 	a.down = false
 	a.coldStart.updateFromAnnouncement(now, b.ColdFor)
 	if known.ID != b.ID || known.State != b.State {
 		a.config.Logger.Info("backend server announced", "backend", b.ID, "state", b.State.String(), "slots", b.Slots)
 	}
-	a.step(now, admitter.Announce{Incarnation: b.Incarnation, Slots: b.Slots, State: b.State})
+	a.step(now, admitter.Announce{Incarnation: identifier.Incarnation(run), Slots: b.Slots, State: b.State})
 	a.applyLimits(now)
 	a.config.OnChange()
 	return true
 }
 
-// recordUnknownLeave records the leave of a backend server whose run this daemon
-// had no announcement of. A late announcement of that run may still arrive, and
-// one of a later run at any time; the start time tells them apart.
-func (a *Admission) recordUnknownLeave(b Backend) bool {
-	b.Incarnation, b.presumedIncarnation = identifier.Incarnation(a.config.Clock.Wall()), true
-	a.backend = b
-	a.config.Logger.Info("leave of an unannounced backend server", "backend", b.ID)
-	return true
-}
-
 // Backend returns the known state of the backend server.
 func (a *Admission) Backend() Backend {
 	a.mu.Lock()
@@ -416,6 +400,13 @@
 	return m, m.Accepting
 }
 
+// SetIncarnation changes the incarnation of this daemon.
+func (a *Admission) SetIncarnation(incarnation identifier.Incarnation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.config.Member.Incarnation = incarnation
+}
+
 // Load returns the load of the backend server.
 func (a *Admission) Load() registrar.Load {
 	a.mu.Lock()
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -186,7 +186,7 @@
 	a.loadAge = now - loadAt
 	e.tried = append(e.tried, member.Node)
 	i, route := e.ingress, e.request.route
-	a.id = identifier.AttemptID{Origin: i.config.Incarnation, Sequence: i.sequence.Add(1)}
+	a.id = identifier.AttemptID{Origin: identifier.Incarnation(i.incarnation.Load()), Sequence: i.sequence.Add(1)}
 	remaining := e.request.deadline - now
 	details := encoder.Attempt{
 		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -109,6 +109,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
+	a.order.Found(h.Backend)
 	switch {
 	case h.Backend == "":
 		return
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -65,8 +65,10 @@
 	observer *observer
 	splitter *router.Splitter
 	sequence atomic.Uint64
-	inFlight atomic.Int64
-	draining atomic.Bool
+	// incarnation is the origin of attempts.
+	incarnation atomic.Uint64
+	inFlight    atomic.Int64
+	draining    atomic.Bool
 
 	mu     sync.RWMutex
 	fleets map[identifier.ServiceName]*fleet
@@ -74,12 +76,19 @@
 
 // NewIngress returns an ingress without fleets; they are created on first use.
 func NewIngress(config IngressConfig) *Ingress {
-	return &Ingress{
+	i := &Ingress{
 		config:   config,
 		observer: newObserver(config.Logger),
 		splitter: router.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		fleets:   map[identifier.ServiceName]*fleet{},
 	}
+	i.SetIncarnation(config.Incarnation)
+	return i
+}
+
+// SetIncarnation changes the incarnation of this daemon.
+func (i *Ingress) SetIncarnation(incarnation identifier.Incarnation) {
+	i.incarnation.Store(uint64(incarnation))
 }
 
 // InFlight returns the number of callers' requests in flight.
