Send datagrams to users and a bounded sample instead of the whole fleet

Cause: each report and each new position of the configuration went to every member, and a new daemon sent its report to all and got one from each, so a change of the configuration cost n x n datagrams and a start of the fleet n x n reports.

Change: the new package spreader chooses the receivers: the users of an instance and a few random members, most of them in the own failure domain. Each daemon passes a new position on as soon as it has it. Status messages carry a generation, by which a receiver sees that it missed a report, the key of the service and the size of the fleet; a daemon asks an unknown sender for its report only while it needs members. The retry budget is divided by the largest size named lately. Counters give datagrams and bytes by kind and failure domain.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -142,6 +142,7 @@
 		Address: config.Addresses.Reports, Clock: clock,
 		Self:     d.self,
 		Position: d.position, Ahead: d.scheduleFetch, Loaded: func(m registrar.Member) { d.ingress.RecordLoad(m) },
+		FailureDomain: config.FailureDomain, Uses: func(service registrar.ServiceKey) bool { return d.ingress.Uses(service) },
 		Superseded:  d.supersede,
 		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
 	})
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -1,12 +1,11 @@
 // Package gossiper exchanges the state of daemons by UDP.
 //
-// Each daemon sends datagrams on changes and at a fixed interval: to every member,
-// or, in a large fleet, to the members that use its backend server and to a few
-// random ones. A status message carries the load and the version of the
+// Each daemon sends datagrams on changes and at a fixed interval; package spreader
+// chooses their receivers. A status message carries the load and the version of the
 // configuration in a few bytes. A report carries the whole state and is sent when
-// more than the load changed. A receiver that does not know the sender of a status
-// message, or that missed a report, requests a report. A daemon that learns of a
-// newer configuration fetches it.
+// more than the load changed. A receiver that missed a report, or that does not know
+// the sender of a status message and needs more members, requests a report. A daemon
+// that learns of a newer configuration fetches it.
 //
 // # Usage
 //
@@ -29,6 +28,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -43,15 +43,6 @@
 	// minBroadcastInterval is the minimum time between two broadcasts, so that a burst of
 	// changes is sent as one.
 	minBroadcastInterval = 4 * timer.Millis(1)
-	// smallFleet is the number of members up to which each receives every datagram.
-	smallFleet = 32
-	// sampleSize is the number of random members that receive a datagram at each
-	// interval in a large fleet.
-	sampleSize = 6
-	// maxUsers bounds the users that receive each load change, so that the cost does
-	// not grow with the fleet. The others learn the load from the answers to their
-	// attempts.
-	maxUsers = smallFleet
 	// userTimeout is how long a member counts as a user after it sent an attempt.
 	userTimeout = 2 * timer.Second
 	// reportsPerEntry is the number of reports that carry a quarantine entry, since
@@ -82,6 +73,10 @@
 	// Loaded is called with the state of each member whose datagram arrived, and with
 	// that of this daemon at each broadcast.
 	Loaded func(registrar.Member)
+	// FailureDomain is that of this daemon.
+	FailureDomain identifier.FailureDomain
+	// Uses reports whether this daemon sends attempts to a service.
+	Uses func(registrar.ServiceKey) bool
 	// Superseded is called with a report of another run of this daemon.
 	Superseded func(registrar.Member)
 	// Quarantined is called with entries of members of the same service.
@@ -97,13 +92,21 @@
 
 	self identifier.InstanceID
 
-	mu      sync.Mutex
-	table   *registrar.Registrar
-	users   map[identifier.Incarnation]timer.Millis
-	entries []pendingEntry
+	mu     sync.Mutex
+	table  *registrar.Registrar
+	spread *spreader.Spreader
+	// spreadVersion is the version of the table that spread has.
+	spreadVersion uint64
+	users         map[identifier.Incarnation]timer.Millis
+	entries       []pendingEntry
 	// lastSent and lastPosition are the contents of the last broadcast.
 	lastSent     registrar.Member
 	lastPosition Position
+	fleet        fleetSize
+	// newest is the state that the current generation stands for.
+	newest     registrar.Member
+	generation uint64
+	traffic    traffic
 }
 
 type pendingEntry struct {
@@ -124,7 +127,8 @@
 	return &Gossiper{
 		config: config, conn: conn, trigger: make(chan struct{}, 1),
 		self: config.Self().Node, table: registrar.New(config.Self().Node),
-		users: map[identifier.Incarnation]timer.Millis{},
+		spread: spreader.New(config.FailureDomain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		users:  map[identifier.Incarnation]timer.Millis{}, traffic: newTraffic(),
 	}, nil
 }
 
@@ -159,23 +163,6 @@
 	}
 }
 
-// AddMembers adds members that another source named, and sends each new one a
-// report.
-func (g *Gossiper) AddMembers(members []registrar.Member) {
-	g.mu.Lock()
-	now := g.config.Clock.Now()
-	var learned []registrar.Member
-	for _, m := range members {
-		if g.table.Learn(now, m) {
-			learned = append(learned, m)
-		}
-	}
-	g.mu.Unlock()
-	for _, m := range learned {
-		g.sendReport(m)
-	}
-}
-
 // BroadcastQuarantine adds quarantine entries to the next reports.
 func (g *Gossiper) BroadcastQuarantine(entries []quarantiner.Entry) {
 	g.mu.Lock()
@@ -223,11 +210,35 @@
 	return g.table.Elected(g.config.Clock.Now(), own)
 }
 
-// ActiveCount returns the number of active daemons, this one included.
+// ActiveCount returns the number of active daemons, this one included. In a large
+// fleet, where only some report to this one, it is the largest number that a daemon
+// has named lately.
 func (g *Gossiper) ActiveCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.ActiveCount(g.config.Clock.Now()) + 1
+	return g.activeCount(g.config.Clock.Now())
+}
+
+func (g *Gossiper) activeCount(now timer.Millis) int {
+	if g.table.Size() <= spreader.SmallFleet {
+		return g.table.ActiveCount(now) + 1
+	}
+	return max(g.table.Size()+1, g.fleet.largest(now))
+}
+
+// own returns the state of this daemon with its generation.
+func (g *Gossiper) own() registrar.Member {
+	own := g.config.Self()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	newest := own
+	newest.Revision, newest.Load, newest.StoreUnreachable = 0, registrar.Load{}, false
+	if newest != g.newest {
+		g.newest = newest
+		g.generation++
+	}
+	own.Generation = g.generation
+	return own
 }
 
 func (g *Gossiper) expire() {
@@ -245,7 +256,7 @@
 // broadcast sends changes to other daemons. If due is set, it sends at least a
 // status message.
 func (g *Gossiper) broadcast(due bool) {
-	own, position := g.config.Self(), g.config.Position()
+	own, position := g.own(), g.config.Position()
 	g.config.Loaded(own)
 	g.mu.Lock()
 	changed := g.changed(own) || len(g.entries) > 0
@@ -255,28 +266,38 @@
 		g.lastSent, g.lastPosition = own, position
 	}
 	g.mu.Unlock()
-	var data []byte
+	kind := spreader.Load
 	switch {
-	case changed:
-		var ok bool
-		if data, ok = g.report(own); !ok {
-			return
-		}
-	case moved || significant || due:
-		data = statusMessage{
-			StatusUpdate: registrar.StatusUpdate{
-				Incarnation: own.Incarnation, Revision: own.Revision, Accepting: own.Accepting, StoreUnreachable: own.StoreUnreachable, Load: own.Load,
-			},
-			Position: position,
-		}.encode()
-	default:
+	case changed || moved:
+		kind = spreader.Change
+	case due:
+		kind = spreader.Periodic
+	case !significant:
 		return
 	}
-	for _, address := range g.targets(due, changed || moved) {
-		g.send(address, data)
+	if !changed {
+		g.send(g.targets(kind), g.status(own, position), trafficStatus)
+		return
+	}
+	if data, ok := g.report(own); ok {
+		g.send(g.targets(kind), data, trafficReport)
 	}
 }
 
+// status encodes a status message.
+func (g *Gossiper) status(own registrar.Member, position Position) []byte {
+	g.mu.Lock()
+	fleet := uint32(g.table.Size() + 1)
+	g.mu.Unlock()
+	return statusMessage{
+		StatusUpdate: registrar.StatusUpdate{
+			Incarnation: own.Incarnation, Revision: own.Revision, Accepting: own.Accepting, StoreUnreachable: own.StoreUnreachable, Load: own.Load,
+			Generation: own.Generation, Service: registrar.KeyOf(own.Service), Fleet: fleet,
+		},
+		Position: position,
+	}.encode()
+}
+
 // changed reports whether more than the load differs from the last broadcast.
 func (g *Gossiper) changed(own registrar.Member) bool {
 	lastSent := g.lastSent
@@ -317,44 +338,6 @@
 	return data, true
 }
 
-// targets returns the addresses that a datagram is sent to: all members of a small
-// fleet or if all is set, otherwise the users and, if due is set, a random sample.
-func (g *Gossiper) targets(due, all bool) []identifier.Address {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if all || g.table.Size() <= smallFleet {
-		return g.table.ReportAddresses(func(identifier.Incarnation) bool { return true })
-	}
-	addresses := g.table.ReportAddresses(func(i identifier.Incarnation) bool { _, uses := g.users[i]; return uses })
-	if len(addresses) > maxUsers {
-		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		addresses = addresses[:maxUsers]
-	}
-	if due {
-		addresses = append(addresses, g.sample()...)
-	}
-	return addresses
-}
-
-// sample returns the addresses of sampleSize random members.
-func (g *Gossiper) sample() []identifier.Address {
-	members := g.table.ReportAddresses(func(identifier.Incarnation) bool { return true })
-	addresses := make([]identifier.Address, 0, sampleSize)
-	for range sampleSize {
-		addresses = append(addresses, members[rand.IntN(len(members))])
-	}
-	return addresses
-}
-
-func (g *Gossiper) send(to identifier.Address, data []byte) {
-	address, err := netip.ParseAddrPort(string(to))
-	if err != nil {
-		g.config.Logger.Warn("member address is invalid", "address", to, "error", err.Error())
-		return
-	}
-	_, _ = g.conn.WriteToUDPAddrPort(data, address) // The next datagram replaces a lost one.
-}
-
 func (g *Gossiper) read() {
 	buffer := make([]byte, maxReportBytes+1)
 	for {
@@ -381,7 +364,8 @@
 		}
 		g.receiveStatus(p, from)
 	case kindReportRequest:
-		if answer, ok := g.report(g.config.Self()); ok {
+		if answer, ok := g.report(g.own()); ok {
+			g.traffic.countAnswer(len(answer))
 			_, _ = g.conn.WriteToUDPAddrPort(answer, from) // The sender requests a lost report again.
 		}
 	case kindReport:
@@ -403,9 +387,16 @@
 // not known or a report was missed.
 func (g *Gossiper) receiveStatus(status statusMessage, from netip.AddrPort) {
 	g.mu.Lock()
-	m, known := g.table.ObserveStatus(g.config.Clock.Now(), status.StatusUpdate)
+	now := g.config.Clock.Now()
+	g.fleet.observe(now, int(status.Fleet))
+	m, known := g.table.ObserveStatus(now, status.StatusUpdate)
+	wanted := !known && g.wanted(now, status)
 	g.mu.Unlock()
 	if !known {
+		if !wanted {
+			return
+		}
+		g.traffic.countAnswer(1)
 		_, _ = g.conn.WriteToUDPAddrPort([]byte{kindReportRequest}, from) // The next status message repeats a lost request.
 		return
 	}
@@ -449,21 +440,3 @@
 	}
 	g.checkPosition(report.Position, m)
 }
-
-// returnReport sends a daemon the report of another run of it, so that it can take a
-// higher incarnation.
-func (g *Gossiper) returnReport(to identifier.Address, known registrar.Member) {
-	data, err := Report{Member: known}.encode()
-	if err != nil {
-		g.config.Logger.Error("report could not be encoded", "error", err.Error())
-		return
-	}
-	g.send(to, data)
-}
-
-// sendReport sends a report to a member that may not know this daemon.
-func (g *Gossiper) sendReport(m registrar.Member) {
-	if data, ok := g.report(g.config.Self()); ok {
-		g.send(m.Report, data)
-	}
-}
--- /dev/null
+++ b/internal/coordination/gossiper/members.go
@@ -0,0 +1,87 @@
+package gossiper
+
+import (
+	"net/netip"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+// AddMembers adds members that another source named, and introduces this daemon to
+// some of them.
+func (g *Gossiper) AddMembers(members []registrar.Member) {
+	g.mu.Lock()
+	now := g.config.Clock.Now()
+	learned := false
+	for _, m := range members {
+		learned = g.table.Learn(now, m) || learned
+	}
+	var targets []registrar.Member
+	if learned {
+		g.updateSpread()
+		targets = g.spread.Introduction()
+	}
+	g.mu.Unlock()
+	for _, m := range targets {
+		g.sendReport(m)
+	}
+}
+
+// updateSpread passes the members to spread if they have changed. The lock must be
+// held.
+func (g *Gossiper) updateSpread() {
+	if version := g.table.Version(); version != g.spreadVersion {
+		g.spreadVersion = version
+		g.spread.SetMembers(g.table.Members())
+	}
+}
+
+// targets returns the members that a datagram is sent to.
+func (g *Gossiper) targets(kind spreader.Kind) []registrar.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.updateSpread()
+	return g.spread.Targets(kind, func(m registrar.Member) bool { _, uses := g.users[m.Incarnation]; return uses })
+}
+
+func (g *Gossiper) send(to []registrar.Member, data []byte, kind trafficKind) {
+	for _, m := range to {
+		address, err := netip.ParseAddrPort(string(m.Report))
+		if err != nil {
+			g.config.Logger.Warn("member address is invalid", "address", m.Report, "error", err.Error())
+			continue
+		}
+		g.traffic.count(kind, m.FailureDomain == g.config.FailureDomain, len(data))
+		_, _ = g.conn.WriteToUDPAddrPort(data, address) // The next datagram replaces a lost one.
+	}
+}
+
+// wanted reports whether the report of a status message's sender is requested. The
+// lock must be held.
+func (g *Gossiper) wanted(now timer.Millis, status statusMessage) bool {
+	own := g.config.Position()
+	return g.table.Size() <= spreader.SmallFleet || status.Service == 0 || g.table.Knows(status.Incarnation) ||
+		status.Position.Offset > own.Offset || status.Position.Version > own.Version ||
+		spreader.Wanted(g.table.ActiveOf(now, status.Service), g.table.ActiveCount(now), g.config.Uses(status.Service))
+}
+
+// returnReport sends a daemon the report of another run of it, so that it can take a
+// higher incarnation.
+func (g *Gossiper) returnReport(to identifier.Address, known registrar.Member) {
+	data, err := Report{Member: known}.encode()
+	if err != nil {
+		g.config.Logger.Error("report could not be encoded", "error", err.Error())
+		return
+	}
+	known.Report = to
+	g.send([]registrar.Member{known}, data, trafficReport)
+}
+
+// sendReport sends a report to a member that may not know this daemon.
+func (g *Gossiper) sendReport(m registrar.Member) {
+	if data, ok := g.report(g.own()); ok {
+		g.send([]registrar.Member{m}, data, trafficReport)
+	}
+}
--- a/internal/coordination/gossiper/message.go
+++ b/internal/coordination/gossiper/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"math"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
@@ -47,8 +48,12 @@
 	Position Position
 }
 
-// statusFields is the number of varints in a status message.
-const statusFields = 9
+// statusFields is the number of varints in a status message. The last optionalFields
+// may be missing in those of earlier versions.
+const (
+	statusFields   = 12
+	optionalFields = 3
+)
 
 func (p statusMessage) encode() []byte {
 	flags := uint64(0)
@@ -65,12 +70,19 @@
 	for _, field := range [statusFields]uint64{
 		uint64(p.Incarnation), p.Revision, uint64(p.Position.Version), uint64(p.Position.Offset), flags,
 		uint64(p.Load.Running), uint64(p.Load.Queued), uint64(p.Load.Limit), uint64(p.Load.SlowdownPercent),
+		p.Generation, uint64(p.Service), uint64(p.Fleet),
 	} {
 		data = binary.AppendUvarint(data, field)
 	}
 	return data
 }
 
+// Positions of fields that are no counts.
+const (
+	generationField = 9
+	serviceField    = 10
+)
+
 // maxCount bounds the counts in a status message, so that they fit an int32.
 const maxCount = 1 << 30
 
@@ -78,6 +90,9 @@
 func decodeStatus(data []byte) (statusMessage, error) {
 	var fields [statusFields]uint64
 	for i := range fields {
+		if len(data) == 0 && i >= statusFields-optionalFields {
+			break
+		}
 		value, n := binary.Uvarint(data)
 		if n <= 0 {
 			return statusMessage{}, Error.New("status message truncated or invalid in field %d", i)
@@ -85,7 +100,7 @@
 		fields[i], data = value, data[n:]
 	}
 	for i := 5; i < statusFields; i++ {
-		if fields[i] > maxCount {
+		if i != generationField && i != serviceField && fields[i] > maxCount || i == serviceField && fields[i] > math.MaxUint32 {
 			return statusMessage{}, Error.New("status message has count %d in field %d", fields[i], i)
 		}
 	}
@@ -96,6 +111,7 @@
 				Running: int32(fields[5]), Queued: int32(fields[6]), Limit: int32(fields[7]),
 				SlowdownPercent: int32(fields[8]), Cold: fields[4]&2 > 0,
 			},
+			Generation: fields[generationField], Service: registrar.ServiceKey(fields[serviceField]), Fleet: uint32(fields[11]),
 		},
 		Position: Position{Version: identifier.Version(fields[2]), Offset: identifier.Offset(fields[3])},
 	}, nil
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -58,6 +59,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Accepting reports whether admission accepts attempts.
 	Accepting bool `json:"accepting"`
+	// Generation counts the changes of the fields other than Revision, Load and
+	// StoreUnreachable in one incarnation. Zero means that it is not counted.
+	Generation uint64 `json:"generation,omitempty"`
 	// StoreUnreachable reports whether the daemon cannot reach the platform's store.
 	StoreUnreachable bool `json:"cut,omitempty"`
 	Load             Load `json:"load"`
@@ -98,10 +102,29 @@
 	Accepting        bool
 	StoreUnreachable bool
 	Load             Load
+	// Generation is that of the newest report; zero if the sender does not count it.
+	Generation uint64
+	// Service is the key of the sender's service; zero if the sender does not say.
+	Service ServiceKey
+	// Fleet is the number of daemons that the sender assumes; zero if it does not say.
+	Fleet uint32
+}
+
+// ServiceKey is a short hash of a service's name. Two services may share one, which
+// only makes their members look like those of one service to a daemon that does not
+// know them.
+type ServiceKey uint32
+
+// KeyOf returns the key of a service. It is never zero.
+func KeyOf(service identifier.ServiceName) ServiceKey {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service)) // A hash does not fail.
+	return max(1, ServiceKey(h.Sum32()))
 }
 
 type entry struct {
 	member   Member
+	key      ServiceKey
 	lastSeen timer.Millis
 	// reported is false while only another source, such as the store, named the
 	// member.
@@ -133,7 +156,7 @@
 	r.dropPredecessors(m)
 	known, found := r.entries[m.Node]
 	if !found {
-		r.add(&entry{member: m, lastSeen: now, reported: true})
+		r.add(&entry{member: m, key: KeyOf(m.Service), lastSeen: now, reported: true})
 		r.version++
 		return Joined
 	}
@@ -143,7 +166,7 @@
 	}
 	revived := !known.reported || now-known.lastSeen > silenceTimeout
 	delete(r.byIncarnation, old.Incarnation)
-	known.member, known.lastSeen, known.reported = m, now, true
+	known.member, known.key, known.lastSeen, known.reported = m, KeyOf(m.Service), now, true
 	r.byIncarnation[m.Incarnation] = known
 	if m.Incarnation > old.Incarnation {
 		r.version++
@@ -158,11 +181,11 @@
 }
 
 // ObserveStatus applies a status update. It returns false if no member that has
-// reported matches its incarnation and its Accepting, so that a full report is
-// needed. A late update changes nothing.
+// reported matches its incarnation, its Accepting and its Generation, so that a full
+// report is needed. A late update changes nothing.
 func (r *Registrar) ObserveStatus(now timer.Millis, u StatusUpdate) (Member, bool) {
 	e := r.byIncarnation[u.Incarnation]
-	if e == nil || !e.reported || e.member.Accepting != u.Accepting {
+	if e == nil || !e.reported || e.member.Accepting != u.Accepting || u.Generation > e.member.Generation {
 		return Member{}, false
 	}
 	if u.Revision > e.member.Revision {
@@ -219,7 +242,7 @@
 	}
 	r.dropPredecessors(m)
 	m.Accepting = false
-	r.add(&entry{member: m, lastSeen: now})
+	r.add(&entry{member: m, key: KeyOf(m.Service), lastSeen: now})
 	r.version++
 	return true
 }
@@ -285,16 +308,22 @@
 	return members
 }
 
-// ReportAddresses returns the report addresses of the members whose incarnation
-// matches, in no particular order.
-func (r *Registrar) ReportAddresses(matches func(identifier.Incarnation) bool) []identifier.Address {
-	var addresses []identifier.Address
-	for incarnation, e := range r.byIncarnation {
-		if matches(incarnation) {
-			addresses = append(addresses, e.member.Report)
+// Knows reports whether a member has an incarnation.
+func (r *Registrar) Knows(incarnation identifier.Incarnation) bool {
+	_, found := r.byIncarnation[incarnation]
+	return found
+}
+
+// ActiveOf returns the number of members with a service key that reported within
+// silenceTimeout.
+func (r *Registrar) ActiveOf(now timer.Millis, key ServiceKey) int {
+	count := 0
+	for _, e := range r.entries {
+		if e.key == key && e.reported && now-e.lastSeen <= silenceTimeout {
+			count++
 		}
 	}
-	return addresses
+	return count
 }
 
 // Size returns the number of members.
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -72,6 +72,8 @@
 
 	mu     sync.RWMutex
 	fleets map[identifier.ServiceName]*fleet
+	// used holds the keys of the services in fleets.
+	used map[registrar.ServiceKey]struct{}
 }
 
 // NewIngress returns an ingress without fleets; they are created on first use.
@@ -81,6 +83,7 @@
 		observer: newObserver(config.Logger),
 		splitter: router.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		fleets:   map[identifier.ServiceName]*fleet{},
+		used:     map[registrar.ServiceKey]struct{}{},
 	}
 	i.SetIncarnation(config.Incarnation)
 	return i
@@ -91,6 +94,14 @@
 	i.incarnation.Store(uint64(incarnation))
 }
 
+// Uses reports whether callers have sent requests for a service.
+func (i *Ingress) Uses(service registrar.ServiceKey) bool {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
+	_, used := i.used[service]
+	return used
+}
+
 // InFlight returns the number of callers' requests in flight.
 func (i *Ingress) InFlight() int64 { return i.inFlight.Load() }
 
@@ -217,6 +228,7 @@
 		if f, found = i.fleets[service]; !found {
 			f = newFleet(i.config.FailureDomain, i.retryWindow(), now)
 			i.fleets[service] = f
+			i.used[registrar.KeyOf(service)] = struct{}{}
 		}
 		i.mu.Unlock()
 	}
