Close three windows that operators of similar systems were hit by

An answer without an id is now taken only on a new connection; daemons echo the id of the attempt to each other. - A planned stop reset the connections that the kernel had accepted and the daemon had not. Serve goes on accepting for 20 ms and refuses what arrives as not run. - A process paused between the decision to start an attempt and its start carried it out with the time that was left before the pause. The boot-time clock is read immediately before the write, to the backend server and to another daemon; a decision that is too old is not carried out, and the time passed on is that of the write. Besides, an answer of a backend server that bears the headers of daemons was read as their refusal, so a request that had run was reported as not run. Admission removes these headers.

--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -183,3 +183,14 @@
 		header.Del(name)
 	}
 }
+
+// ownResponseHeaders are set only by daemons. From a backend server, they would be
+// taken for a refusal or a load of the daemon beside it.
+var ownResponseHeaders = []string{HeaderOutcome, HeaderReason, HeaderRetryAfterMs, HeaderLoad, HeaderAttempt}
+
+// RemoveOwnHeaders removes the headers of daemons from the answer of a backend server.
+func RemoveOwnHeaders(header *fasthttp.ResponseHeader) {
+	for _, name := range ownResponseHeaders {
+		header.Del(name)
+	}
+}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -137,14 +137,20 @@
 	run := NewRun(attempt, &x.Request, &x.Response)
 	run.Memory = x.Memory()
 	run.Deliver = func(body *exchanger.Body) error {
-		encodeLoad(&x.Response.Header, a.Load())
+		a.encodeHead(x, attempt)
 		return x.Deliver(body)
 	}
 	x.OnDisconnect(func() { a.Cancel(run) })
 	if refusal, answered := a.Execute(run); !answered {
 		refusal.WriteResponse(&x.Response)
 	}
+	a.encodeHead(x, attempt)
+}
+
+// encodeHead adds the load and the attempt's id to a response to another daemon.
+func (a *Admission) encodeHead(x *exchanger.Exchange, attempt encoder.Attempt) {
 	encodeLoad(&x.Response.Header, a.Load())
+	x.Response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 }
 
 // Execute waits until an attempt may start and runs it. It returns false and a
@@ -236,7 +242,7 @@
 	for _, action := range a.admitter.Step(now, event, buffer[:0]) {
 		switch act := action.(type) {
 		case admitter.Start:
-			a.deliverDecision(act.Attempt, decision{start: true, solo: act.Solo, remaining: act.Remaining})
+			a.deliverDecision(act.Attempt, decision{start: true, solo: act.Solo, at: now, remaining: act.Remaining})
 		case admitter.Refuse:
 			a.deliverDecision(act.Attempt, refuse(act.Reason, act.RetryAfter))
 		case admitter.BackendCrash:
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -74,8 +74,8 @@
 	// for it.
 	SetTarget(header *fasthttp.RequestHeader, backend identifier.BackendID, left timer.Millis)
 	// MatchesRequest reports whether an answer belongs to the request with the given
-	// id.
-	MatchesRequest(header *fasthttp.ResponseHeader, requestID []byte) bool
+	// id. On a reused connection it may be a late one to an earlier request.
+	MatchesRequest(header *fasthttp.ResponseHeader, requestID []byte, reused bool) bool
 	// Classify returns the verdict on an answer.
 	Classify(response *fasthttp.Response) Verdict
 	// Load returns the load that came with an answer.
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -208,16 +208,37 @@
 		return true
 	}
 	details.Encode(&request.Header)
+	id := details.ID.String()
 	a.call = &exchanger.Call{
 		Request: request, Response: a.response, MaxReuseIdle: peerIdleTimeout,
 		Deadline:  time.Now().Add((remaining + answerSlack).Duration()),
 		BodyLimit: i.config.Bodies.Total, BufferLimit: i.config.Bodies.bufferLimit(route.LargeBody),
 		Stream: true, Memory: e.x.Memory(),
+		Prepare: func() bool { return e.mayWrite(a, details, request) },
+		MatchResponse: func(header *fasthttp.ResponseHeader) bool {
+			echo := header.Peek(encoder.HeaderAttempt)
+			return len(echo) == 0 || string(echo) == id // Earlier versions do not echo it.
+		},
 	}
 	go e.remote(a)
 	return true
 }
 
+// mayWrite is the last check before an attempt is written to another daemon. The time
+// left is that of this moment, since the connection may have taken a while or the
+// process may have been paused.
+func (e *exchange) mayWrite(a *attempt, details encoder.Attempt, request *fasthttp.Request) bool {
+	now := timer.Resync(e.ingress.config.Clock)
+	if now >= e.request.deadline {
+		return false
+	}
+	if now > a.sentAt {
+		details.Remaining = e.request.deadline - now
+		details.Encode(&request.Header)
+	}
+	return true
+}
+
 const (
 	// answerSlack lets the answer to an attempt that ended at its deadline
 	// arrive, so that its connection can be kept.
@@ -255,6 +276,8 @@
 		<-e.over
 		a.body.Close()
 		e.endBody(a)
+	case exchanger.Expired:
+		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Deadline}, latency, selector.NotRun)
 	case exchanger.ConnectionRefused, exchanger.NotSent:
 		e.request.fleet.eject(e.now(), a.member.Node)
 		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.ConnectionBroken}, latency, selector.NotRun)
@@ -277,7 +300,7 @@
 		return classifier.Deadline
 	case exchanger.Aborted:
 		return classifier.Canceled
-	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
+	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
 	}
 	return classifier.ConnectionBroken
 }
@@ -289,6 +312,7 @@
 		e.request.fleet.recordLoad(e.now(), a.member.Node, load)
 	}
 	header.Del(encoder.HeaderLoad)
+	header.Del(encoder.HeaderAttempt)
 	var refusal encoder.Refusal
 	if refusal.Decode(header) {
 		if a.body != nil {
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -65,24 +65,44 @@
 // the request, so a retry is left to the sender's budget.
 func (a *Admission) send(r *Run, d decision) (*exchanger.Call, exchanger.Result) {
 	id := bytes.Clone(a.config.Dialect.RequestID(&r.Request.Header))
-	deadline := time.Now().Add(d.remaining.Duration())
+	remaining := d.remaining - (a.config.Clock.Now() - d.at)
+	deadline := time.Now().Add(remaining.Duration())
 	reuse := nonIdempotentReuse
 	if r.Attempt.Urgency.Idempotent {
 		reuse = backendIdleTimeout
 	}
-	a.config.Dialect.SetTarget(&r.Request.Header, a.Backend().ID, d.remaining)
 	call := &exchanger.Call{
 		Request: r.Request, Response: r.Response, Deadline: deadline, MaxReuseIdle: reuse,
-		MatchResponse: func(header *fasthttp.ResponseHeader) bool { return a.config.Dialect.MatchesRequest(header, id) },
-		BodyLimit:     a.config.Bodies.Total, BufferLimit: a.config.Bodies.bufferLimit(r.largeBody),
+		BodyLimit: a.config.Bodies.Total, BufferLimit: a.config.Bodies.bufferLimit(r.largeBody),
 		Stream: r.Deliver != nil, Memory: r.Memory,
 	}
+	call.Prepare = func() bool { return a.mayStart(r, d) }
+	call.MatchResponse = func(header *fasthttp.ResponseHeader) bool {
+		return a.config.Dialect.MatchesRequest(header, id, call.Reused)
+	}
 	if !r.attach(call) {
 		return call, exchanger.NotSent
 	}
 	return call, a.pool.Do(call)
 }
 
+// maxStartDelay bounds the time from the decision to start an attempt to its start,
+// apart from a check of the load and the wait for a connection. After a longer one the
+// process was paused, and the decision may no longer hold.
+const maxStartDelay = 250 * timer.Millis(1)
+
+// mayStart is the last check before an attempt is written to the backend server. A
+// decision made before a pause of the process is not carried out.
+func (a *Admission) mayStart(r *Run, d decision) bool {
+	delay := timer.Resync(a.config.Clock) - d.at
+	if delay >= d.remaining || delay > maxStartDelay+backendConnectTimeout+a.config.LoadCheckTimeout {
+		a.config.Logger.Warn("start of an attempt given up after a delay", "attempt", r.Attempt.ID.String(), "delay_ms", delay, "remaining_ms", d.remaining)
+		return false
+	}
+	a.config.Dialect.SetTarget(&r.Request.Header, a.Backend().ID, d.remaining-delay)
+	return true
+}
+
 // deliverBody passes on a response as its body arrives. It returns how the run ended,
 // which is known only at the end of the body.
 func deliverBody(r *Run, body *exchanger.Body, end runEnd) runEnd {
@@ -98,7 +118,7 @@
 		end.result, end.refusal.Reason = admitter.TimedOut, classifier.CallerGone
 	case exchanger.Incomplete:
 		end.result, end.refusal.Reason = admitter.Failed, classifier.IncompleteAnswer
-	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
+	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
 	}
 	return end
 }
@@ -124,6 +144,8 @@
 		return a.classifyAnswer(r)
 	case exchanger.NotSent:
 		return notRun(admitter.TimedOut, classifier.ConnectionBroken)
+	case exchanger.Expired:
+		return notRun(admitter.TimedOut, classifier.Deadline)
 	case exchanger.ConnectionRefused:
 		a.setDown("connection refused")
 		return notRun(admitter.ConnectionRefused, classifier.Unavailable)
@@ -149,6 +171,7 @@
 	case Genuine:
 	}
 	removeHopHeaders(&r.Response.Header)
+	encoder.RemoveOwnHeaders(&r.Response.Header)
 	end := runEnd{result: admitter.OK, answered: true}
 	if r.Response.StatusCode() >= fasthttp.StatusInternalServerError {
 		end.result = admitter.Failed
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -95,7 +95,7 @@
 		a.applyHealth(a.config.Dialect.Health(response))
 	case exchanger.ConnectionRefused:
 		a.setDown("health check refused")
-	case exchanger.Streaming, exchanger.NotSent, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
+	case exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
 	}
 	a.mu.Lock()
 	a.checkDone = nil
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -45,7 +45,9 @@
 type decision struct {
 	start bool
 	// solo says that no other attempt runs at the same time.
-	solo      bool
+	solo bool
+	// at is the time of the decision, remaining the time left for the run from then on.
+	at        timer.Millis
 	remaining timer.Millis
 	refusal   encoder.Refusal
 }
--- a/internal/transport/dispatcher/solo_test.go
+++ b/internal/transport/dispatcher/solo_test.go
@@ -17,7 +17,7 @@
 )
 
 func (plainDialect) SetTarget(*fasthttp.RequestHeader, identifier.BackendID, timer.Millis) {}
-func (plainDialect) MatchesRequest(*fasthttp.ResponseHeader, []byte) bool                  { return true }
+func (plainDialect) MatchesRequest(*fasthttp.ResponseHeader, []byte, bool) bool            { return true }
 
 func (plainDialect) Classify(*fasthttp.Response) Verdict { return Genuine }
 
--- a/internal/transport/exchanger/call.go
+++ b/internal/transport/exchanger/call.go
@@ -20,6 +20,8 @@
 	Streaming
 	// NotSent means that no byte of the request was written.
 	NotSent
+	// Expired means that no byte was written because Prepare did not allow it.
+	Expired
 	// ConnectionRefused means that no byte was written because nothing listens at
 	// the address.
 	ConnectionRefused
@@ -43,8 +45,13 @@
 	// for the request. The other end may have dropped an idle connection without
 	// notice, and a request that is not idempotent would be lost with it.
 	MaxReuseIdle timer.Millis
+	// Prepare is called immediately before the request is written, when the wait for a
+	// connection is over. It may change the request's headers. If it returns false, the
+	// request is not written and the result is Expired. Nil always allows it.
+	Prepare func() bool
 	// MatchResponse reports whether a response is to this request. Others are read
-	// and discarded. Nil accepts the first response.
+	// and discarded. Nil accepts the first response. On a connection that was Reused, a
+	// response may have been sent before the request.
 	MatchResponse func(*fasthttp.ResponseHeader) bool
 	// BodyLimit bounds the response's body in bytes. Zero means defaultBodyLimit.
 	BodyLimit int64
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -77,6 +77,9 @@
 // do writes a request and reads its response. If the result is Streaming, the rest of
 // the body is read by call.Body and settleWrite has to be called after it.
 func (c *connection) do(call *Call) Result {
+	if call.Prepare != nil && !call.Prepare() {
+		return Expired
+	}
 	_ = c.SetDeadline(call.Deadline) // Fails only on a closed connection, as the write does.
 	c.written = make(chan error, 1)
 	if len(call.Request.Body()) <= maxBodyBeforeRead {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -113,7 +113,7 @@
 	if call.detach() {
 		conn.abort() // Abort may have closed it already.
 		conn.noReuse = true
-		if result != Answered && result != NotSent {
+		if result != Answered && result != NotSent && result != Expired {
 			result = Aborted
 		}
 	}
--- a/internal/transport/exchanger/server.go
+++ b/internal/transport/exchanger/server.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -72,6 +74,10 @@
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				_ = listener.Close() // StopAccepting has set the deadline.
+				return nil
+			}
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -118,8 +124,26 @@
 	return busy
 }
 
-// StopAccepting refuses new connections; open ones stay in use.
+// acceptDrain is how long Serve still accepts connections after StopAccepting. It is
+// set in the future, since Accept takes nothing after its deadline.
+const acceptDrain = 20 * timer.Millis(1)
+
+// StopAccepting makes Serve accept the connections that the kernel has established,
+// whose callers may already have sent a request, and then refuse new ones. Open ones
+// stay in use.
 func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		limited, ok := l.(interface{ SetDeadline(t time.Time) error })
+		if !ok || limited.SetDeadline(time.Now().Add(acceptDrain.Duration())) != nil {
+			_ = l.Close() // Accept returns even if Close fails.
+		}
+	}
+}
+
+// Close stops accepting and closes every connection.
+func (s *Server) Close() {
 	s.mu.Lock()
 	s.stopped = true
 	listeners := s.listeners
@@ -127,11 +151,6 @@
 	for _, l := range listeners {
 		_ = l.Close() // Accept returns even if Close fails.
 	}
-}
-
-// Close stops accepting and closes every connection.
-func (s *Server) Close() {
-	s.StopAccepting()
 	for _, c := range s.openConns() {
 		c.terminate()
 	}
--- a/internal/transport/exchanger/server_test.go
+++ b/internal/transport/exchanger/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,10 +13,28 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
+// heldListener holds back the first Accept until its release, so that connections wait
+// in the kernel.
+type heldListener struct {
+	*net.TCPListener
+	waiting chan struct{}
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	select {
+	case l.waiting <- struct{}{}:
+	default:
+	}
+	<-l.release
+	return l.TCPListener.Accept()
+}
+
 var _ = Describe("a server's connection", func() {
 	echo := func(x *exchanger.Exchange) {
 		x.Response.SetBodyString(string(x.Request.Header.RequestURI()) + "|" + string(x.Request.Body()))
@@ -137,6 +157,34 @@
 		Eventually(server.CloseIdle).WithTimeout(testTimeout).Should(BeZero())
 	})
 
+	It("guards against a planned stop that resets connections which the kernel has accepted", func() {
+		server := exchanger.NewServer(exchanger.ServerConfig{
+			Handler: exchanger.HandlerFunc(echo), Limits: limits, Reject: reject, Clock: timer.NewSystem(), Logger: slog.New(slog.DiscardHandler),
+		})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		held := &heldListener{TCPListener: listener.(*net.TCPListener), waiting: make(chan struct{}, 1), release: make(chan struct{})}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(held) }()
+		DeferCleanup(server.Close)
+		<-held.waiting
+		var callers []*client
+		for range 3 {
+			c := dial(listener.Addr().String())
+			c.send(get("/"))
+			callers = append(callers, c)
+		}
+		server.CloseAfterResponses()
+		server.StopAccepting()
+		close(held.release)
+		for _, c := range callers {
+			Expect(string(c.answer().Body())).To(Equal("/|"))
+		}
+		Eventually(served).WithTimeout(testTimeout).Should(Receive(BeNil()))
+		_, err = net.Dial("tcp", listener.Addr().String())
+		Expect(err).To(HaveOccurred(), "the listener stays open")
+	})
+
 	It("guards against a planned stop that drops running pipelined requests", func() {
 		release := make(chan struct{})
 		server, address := startServer(func(x *exchanger.Exchange) {
--- a/pkg/timer/clock.go
+++ b/pkg/timer/clock.go
@@ -21,3 +21,13 @@
 	// machines read.
 	Wall() Millis
 }
+
+// Resync returns the current time including a suspension of the machine that Now may
+// not include yet. It is for a last check before an action that a pause would make
+// invalid.
+func Resync(c Clock) Millis {
+	if resyncer, ok := c.(interface{ Resync() Millis }); ok {
+		return resyncer.Resync()
+	}
+	return c.Now()
+}
--- a/pkg/timer/steady.go
+++ b/pkg/timer/steady.go
@@ -13,5 +13,8 @@
 // Now returns the monotonic time.
 func (s *Steady) Now() Millis { return s.clock.Now() }
 
+// Resync adds the time of a suspension of the machine; see Resync.
+func (s *Steady) Resync() Millis { return Resync(s.clock) }
+
 // Wall returns the Unix time.
 func (s *Steady) Wall() Millis { return s.offset + s.clock.Now() }
