Pass quarantine entries on within a service; a frozen server is no crash

Cause: with bounded receivers an entry would reach only the daemons that its first sender knows. Entries go to members of the service and are passed on by each that did not have them; those of other services are not taken, and a report to one member no longer uses up a repeat. A connection to the backend server that is not accepted in time counted as a crash, and its requests became suspects; only a refused one counts. The gossiper's reader ended for good on any error of the socket.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -79,8 +80,9 @@
 	Uses func(registrar.ServiceKey) bool
 	// Superseded is called with a report of another run of this daemon.
 	Superseded func(registrar.Member)
-	// Quarantined is called with entries of members of the same service.
-	Quarantined func([]quarantiner.Entry)
+	// Quarantined is called with entries of members of the same service and returns
+	// those that were new, which are passed on.
+	Quarantined func([]quarantiner.Entry) []quarantiner.Entry
 	Logger      *slog.Logger
 }
 
@@ -279,11 +281,32 @@
 		g.send(g.targets(kind), g.status(own, position), trafficStatus)
 		return
 	}
-	if data, ok := g.report(own); ok {
-		g.send(g.targets(kind), data, trafficReport)
+	entries := g.dueEntries()
+	if data, ok := g.report(own, entries); ok {
+		g.send(g.reportTargets(kind, own.Service, len(entries) > 0), data, trafficReport)
 	}
 }
 
+// dueEntries returns the quarantine entries of the next report and counts their
+// repeats.
+func (g *Gossiper) dueEntries() []quarantiner.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var due []quarantiner.Entry
+	kept := g.entries[:0]
+	for i, pending := range g.entries {
+		if i < maxEntries {
+			due = append(due, pending.entry)
+			pending.sendsLeft--
+		}
+		if pending.sendsLeft > 0 {
+			kept = append(kept, pending)
+		}
+	}
+	g.entries = kept
+	return due
+}
+
 // status encodes a status message.
 func (g *Gossiper) status(own registrar.Member, position Position) []byte {
 	g.mu.Lock()
@@ -314,22 +337,9 @@
 		max(slowdown, -slowdown)*slowdownChangeDivisor >= max(1, previous.SlowdownPercent)
 }
 
-// report encodes a report with the quarantine entries that are due.
-func (g *Gossiper) report(own registrar.Member) ([]byte, bool) {
-	report := Report{Member: own, Position: g.config.Position()}
-	g.mu.Lock()
-	kept := g.entries[:0]
-	for i, pending := range g.entries {
-		if i < maxEntries {
-			report.Entries = append(report.Entries, pending.entry)
-			pending.sendsLeft--
-		}
-		if pending.sendsLeft > 0 {
-			kept = append(kept, pending)
-		}
-	}
-	g.entries = kept
-	g.mu.Unlock()
+// report encodes a report.
+func (g *Gossiper) report(own registrar.Member, entries []quarantiner.Entry) ([]byte, bool) {
+	report := Report{Member: own, Position: g.config.Position(), Entries: entries}
 	data, err := report.encode()
 	if err != nil || len(data) > maxReportBytes {
 		g.config.Logger.Error("report to other daemons not sent: it is too large or cannot be encoded", "bytes", len(data), "error", err)
@@ -342,8 +352,13 @@
 	buffer := make([]byte, maxReportBytes+1)
 	for {
 		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			return // The socket was closed.
+			g.config.Logger.Warn("receiving a datagram failed", "error", err.Error())
+			time.Sleep(minBroadcastInterval.Duration()) // The error may persist.
+			continue
 		}
 		if err := g.receive(buffer[:n], from); err != nil {
 			g.config.Logger.Warn("datagram could not be decoded", "from", from.String(), "bytes", n, "error", err.Error())
@@ -364,7 +379,7 @@
 		}
 		g.receiveStatus(p, from)
 	case kindReportRequest:
-		if answer, ok := g.report(g.own()); ok {
+		if answer, ok := g.report(g.own(), nil); ok {
 			g.traffic.countAnswer(len(answer))
 			_, _ = g.conn.WriteToUDPAddrPort(answer, from) // The sender requests a lost report again.
 		}
@@ -435,8 +450,10 @@
 	case registrar.LoadChanged:
 	}
 	g.config.Loaded(m)
-	if len(report.Entries) > 0 {
-		g.config.Quarantined(report.Entries)
+	if len(report.Entries) > 0 && m.Service == g.config.Self().Service {
+		if added := g.config.Quarantined(report.Entries); len(added) > 0 {
+			g.BroadcastQuarantine(added)
+		}
 	}
 	g.checkPosition(report.Position, m)
 }
--- a/internal/coordination/gossiper/gossiper_test.go
+++ b/internal/coordination/gossiper/gossiper_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -128,3 +129,44 @@
 		}
 	}
 }
+
+// Guards against quarantine entries that reach only the daemons which their first
+// sender knows, against entries of another service, and against passing one on forever.
+func TestQuarantineEntriesArePassedOn(t *testing.T) {
+	a, b, c := newDaemon(t, "a", 1), newDaemon(t, "b", 2), newDaemon(t, "c", 3)
+	received := map[*daemon]*atomic.Int64{}
+	for _, d := range []*daemon{a, b, c} {
+		count := &atomic.Int64{}
+		received[d] = count
+		known := false
+		d.config.Quarantined = func(entries []quarantiner.Entry) []quarantiner.Entry {
+			count.Add(1)
+			if known {
+				return nil
+			}
+			known = true
+			return entries
+		}
+	}
+	b.AddMembers([]registrar.Member{a.own(), c.own()})
+	eventually(t, "all know each other over b", func() bool { return len(b.Instances("s")) == 2 })
+	a.mu.Lock()
+	a.spreadVersion = a.table.Version() + 1 // a sends to b only.
+	a.spread.SetMembers([]registrar.Member{{Node: "b", Service: "s", Report: b.config.Address}})
+	a.mu.Unlock()
+	a.BroadcastQuarantine([]quarantiner.Entry{{Kind: quarantiner.Quarantined, Expires: 1}})
+	eventually(t, "c has the entry", func() bool { return received[c].Load() > 0 })
+	other := a.own()
+	other.Node, other.Incarnation, other.Service = "x", 9, "other"
+	before := received[b].Load()
+	b.receiveReport(Report{Member: other, Entries: []quarantiner.Entry{{}}})
+	if received[b].Load() != before {
+		t.Error("an entry of another service was taken")
+	}
+	time.Sleep(3 * broadcastInterval.Duration())
+	for d, count := range received {
+		if n := count.Load(); n > 3*reportsPerEntry {
+			t.Errorf("%s received the entry %d times", d.config.Self().Node, n)
+		}
+	}
+}
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -46,6 +46,18 @@
 	return g.spread.Targets(kind, func(m registrar.Member) bool { _, uses := g.users[m.Incarnation]; return uses })
 }
 
+// reportTargets returns the members that a report is sent to. One with quarantine
+// entries also goes to members of the own service, which pass new entries on.
+func (g *Gossiper) reportTargets(kind spreader.Kind, service identifier.ServiceName, entries bool) []registrar.Member {
+	targets := g.targets(kind)
+	if !entries {
+		return targets
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spread.AddService(targets, service)
+}
+
 func (g *Gossiper) send(to []registrar.Member, data []byte, kind trafficKind) {
 	for _, m := range to {
 		address, err := netip.ParseAddrPort(string(m.Report))
@@ -81,7 +93,7 @@
 
 // sendReport sends a report to a member that may not know this daemon.
 func (g *Gossiper) sendReport(m registrar.Member) {
-	if data, ok := g.report(g.own()); ok {
+	if data, ok := g.report(g.own(), nil); ok {
 		g.send([]registrar.Member{m}, data, trafficReport)
 	}
 }
--- a/internal/state/spreader/spreader.go
+++ b/internal/state/spreader/spreader.go
@@ -37,6 +37,8 @@
 	otherSample  = 2
 	// changeFanOut multiplies the samples for a change, so that it needs fewer rounds.
 	changeFanOut = 2
+	// serviceSample is the number of members of a service that AddService adds.
+	serviceSample = 12
 	// introducedPerService and maxIntroduced bound the members that a new daemon sends
 	// its report to. Their answers are the first instances that it can use.
 	introducedPerService = 8
@@ -138,14 +140,30 @@
 // pick appends up to count random members. It may find fewer if most are targets.
 func (s *Spreader) pick(targets, from []registrar.Member, count int) []registrar.Member {
 	for range count {
-		m := from[s.random.IntN(len(from))]
-		if !slices.ContainsFunc(targets, func(t registrar.Member) bool { return t.Node == m.Node }) {
-			targets = append(targets, m)
-		}
+		targets = s.addOnce(targets, from[s.random.IntN(len(from))])
+	}
+	return targets
+}
+
+// AddService appends random members of a service that are no targets yet, so that each
+// of them has several chances to hear of what concerns the service alone.
+func (s *Spreader) AddService(targets []registrar.Member, service identifier.ServiceName) []registrar.Member {
+	members := s.matching(nil, s.same, func(m registrar.Member) bool { return m.Service == service })
+	members = s.matching(members, s.other, func(m registrar.Member) bool { return m.Service == service })
+	s.shuffle(members)
+	for _, m := range members[:min(len(members), serviceSample)] {
+		targets = s.addOnce(targets, m)
 	}
 	return targets
 }
 
+func (s *Spreader) addOnce(targets []registrar.Member, m registrar.Member) []registrar.Member {
+	if slices.ContainsFunc(targets, func(t registrar.Member) bool { return t.Node == m.Node }) {
+		return targets
+	}
+	return append(targets, m)
+}
+
 // Introduction returns the members to which a daemon introduces itself: some of each
 // service, those in its failure domain first.
 func (s *Spreader) Introduction() []registrar.Member {
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -303,14 +303,20 @@
 	}
 }
 
-// AddQuarantineEntries applies quarantine entries of another daemon of the
-// service.
-func (a *Admission) AddQuarantineEntries(entries []quarantiner.Entry) {
+// AddQuarantineEntries applies quarantine entries of another daemon of the service and
+// returns those that changed a verdict.
+func (a *Admission) AddQuarantineEntries(entries []quarantiner.Entry) []quarantiner.Entry {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	var added []quarantiner.Entry
 	for _, entry := range entries {
+		before, _ := a.quarantiner.Verdict(a.config.Clock.Wall(), entry.Fingerprint)
 		a.quarantine(a.config.Clock.Now(), quarantiner.Remote{Entry: entry})
+		if after, _ := a.quarantiner.Verdict(a.config.Clock.Wall(), entry.Fingerprint); after != before {
+			added = append(added, entry)
+		}
 	}
+	return added
 }
 
 // applyLimits passes the limits in force and the state of the failure domain to
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -127,12 +129,13 @@
 	a.setStartRateLimit(now)
 }
 
-// unreachable reports whether no connection to the backend server can be opened.
+// unreachable reports whether the backend server refuses connections. One that does not
+// answer in time may be frozen or busy, which is no sign of a crash.
 func (a *Admission) unreachable() bool {
 	time.Sleep(crashCheckDelay.Duration())
 	conn, err := net.DialTimeout("tcp", string(a.config.Address), crashCheckTimeout.Duration())
 	if err != nil {
-		return true
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = conn.Close() // Only whether it opens matters.
 	return false
--- a/internal/transport/dispatcher/window_test.go
+++ b/internal/transport/dispatcher/window_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -209,3 +211,36 @@
 		}
 	}
 }
+
+// Guards against a frozen backend server that is taken for a crashed one: the requests
+// that ran on it would be quarantined as crashing it.
+func TestFrozenIsNotCrashed(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	for range 4 { // Nothing accepts, so the queue fills up and further connections time out.
+		conn, err := net.DialTimeout("tcp", address, crashCheckTimeout.Duration())
+		if err != nil {
+			break
+		}
+		defer conn.Close()
+	}
+	a := newReadyAdmission(identifier.Address(address), nil)
+	if a.unreachable() {
+		t.Error("a backend server that does not accept in time counts as crashed")
+	}
+	_ = syscall.Close(fd)
+	if !a.unreachable() {
+		t.Error("a backend server that refuses connections does not count as crashed")
+	}
+}
