Free the memory of requests that get no response

Found by reading: the bytes reserved for the body of a request whose caller left before its response were never freed, so that in the end every request with a body would have been refused as overloaded. A health check counts only until another run is current, and a member with the highest incarnation there is does not raise this daemon's beyond it.

--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -95,7 +96,7 @@
 // change, the store and the other daemons would ignore this one. A daemon on another
 // VM with the same name is not an earlier run.
 func (d *Daemon) supersede(m registrar.Member) {
-	if m.Node != d.config.Node || m.Peer != d.config.Addresses.Peers {
+	if m.Node != d.config.Node || m.Peer != d.config.Addresses.Peers || m.Incarnation == math.MaxUint64 {
 		return
 	}
 	for {
--- a/internal/state/orderer/orderer.go
+++ b/internal/state/orderer/orderer.go
@@ -87,6 +87,9 @@
 	if a.Start != o.known.Start || a.Backend != o.known.Backend {
 		o.run++
 	}
+	if a.Backend != o.known.Backend {
+		o.found = "" // The last health check was answered before the change.
+	}
 	o.known, o.presumed, o.rival = a, false, rival{}
 	return o.run, true
 }
--- a/internal/state/orderer/orderer_test.go
+++ b/internal/state/orderer/orderer_test.go
@@ -71,6 +71,10 @@
 			false,
 		},
 		{"another backend server that answers the health check", "b", []timed{ready(0, "a", start, 9), ready(1, "b", earlier, 1)}, true},
+		{
+			"a late announcement of the one that answered before the next one started", "b",
+			[]timed{ready(0, "a", earlier, 9), ready(1, "b", start, 1), ready(2, "c", later, 1), ready(3, "b", start, 2)}, false,
+		},
 		{"another backend server that does not", "a", []timed{ready(0, "a", start, 9), ready(1, "b", earlier, 1)}, false},
 		{
 			"repeated late announcements of a run that has left", "",
--- a/internal/transport/exchanger/exchange.go
+++ b/internal/transport/exchanger/exchange.go
@@ -68,6 +68,14 @@
 	return x.writeErr
 }
 
+// drop ends an exchange that gets no response. The connection's lock must be held.
+func (x *Exchange) drop() {
+	x.settle(errDisconnected)
+	if x.done {
+		x.memory.Close() // Otherwise its handler still uses the bodies.
+	}
+}
+
 // settle ends Deliver. The connection's lock must be held.
 func (x *Exchange) settle(err error) {
 	if x.settled != nil {
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -229,6 +229,11 @@
 func (c *serverConn) handle(x *Exchange) {
 	c.server.config.Handler.Handle(x)
 	c.finish(x)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isPending(x) {
+		x.memory.Close() // Its response was written or will never be.
+	}
 }
 
 func (c *serverConn) reject(x *Exchange, problem Problem) {
@@ -325,7 +330,7 @@
 		// giveTurn comes last, so that AwaitTurn sees the disconnect.
 		go callAll(x.markDisconnected())
 		x.giveTurn()
-		x.settle(errDisconnected)
+		x.drop()
 	}
 	c.pending = nil
 	c.notFull.Broadcast()
@@ -359,7 +364,7 @@
 		functions = append(functions, x.markDisconnected()...)
 		x.giveTurn()
 		if !c.writing || i > 0 {
-			x.settle(errDisconnected) // The first one is settled after its write.
+			x.drop() // The first one is settled after its write.
 		}
 	}
 	c.mu.Unlock()
--- a/internal/transport/exchanger/stream_test.go
+++ b/internal/transport/exchanger/stream_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -21,6 +22,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
 const bufferLimit = 8 << 10
@@ -194,6 +196,54 @@
 	})
 })
 
+var _ = Describe("the memory of requests", func() {
+	// startBounded starts a server whose handler waits for a release.
+	startBounded := func(memory *exchanger.Memory, release chan struct{}) string {
+		server := exchanger.NewServer(exchanger.ServerConfig{
+			Handler: exchanger.HandlerFunc(func(*exchanger.Exchange) { <-release }), Memory: memory,
+			Limits: limits, Reject: reject, Clock: timer.NewSystem(), Logger: slog.New(slog.DiscardHandler),
+		})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		return listener.Addr().String()
+	}
+	post := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\n" + strings.Repeat("x", 10_000)
+	cases := []struct {
+		name string
+		send string
+		// leaves says that the caller disconnects before the responses.
+		leaves bool
+	}{
+		{"answered", post, false},
+		{"answered in turn", post + post + post, false},
+		{"given up by the caller", post, true},
+		{"given up behind others", post + post + post, true},
+		{"refused as malformed", post + "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbodyzz\r\n", false},
+		{"sent behind one that closes the connection", strings.Replace(post, "Host", "Connection: close\r\nHost", 1) + post, false},
+	}
+	for _, c := range cases {
+		It("guards against memory that is never freed, until every request is refused: "+c.name, func() {
+			memory := exchanger.NewMemory(1 << 20)
+			release := make(chan struct{})
+			conn := dial(startBounded(memory, release))
+			conn.send(c.send)
+			Eventually(memory.Used).WithTimeout(testTimeout).Should(BeNumerically(">=", 10_000))
+			if c.leaves {
+				Expect(conn.Close()).To(Succeed())
+				time.Sleep(20 * time.Millisecond)
+			}
+			close(release)
+			if !c.leaves {
+				conn.answer()
+				_ = conn.Close()
+			}
+			Eventually(memory.Used).WithTimeout(testTimeout).Should(BeZero())
+		})
+	}
+})
+
 // Guards against a body that depends on how the framing is split over reads.
 func TestChunkedBody(t *testing.T) {
 	tester.Check(t, func(t *rapid.T) {
