--- a/internal/transport/dispatcher/window_test.go
+++ b/internal/transport/dispatcher/window_test.go
@@ -22,8 +22,7 @@
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
-// echoDialect tells responses apart by their id, as the platform does, and calls
-// beforeLoadCheck between the decision to start an attempt and its start.
+// echoDialect tells responses apart by their id, as the platform does.
 type echoDialect struct{ plainDialect }
 
 func (echoDialect) RequestID(h *fasthttp.RequestHeader) []byte { return h.Peek("X-Id") }
@@ -165,15 +164,15 @@
 	}
 }
 
-// pausedClock jumps forward once, when a condition holds for the first time: the
-// process was paused at that point.
+// pausedClock jumps forward at its first Resync, which is the last check before an
+// attempt is written: the process was paused just before it.
 type pausedClock struct {
 	*timer.Manual
 	pause timer.Millis
 	done  atomic.Bool
 }
 
-// Resync is called immediately before an attempt is written.
+// Resync advances the clock by the pause, once.
 func (c *pausedClock) Resync() timer.Millis {
 	if !c.done.Swap(true) {
 		c.Advance(c.pause)
