--- a/internal/coordination/gossiper/message_test.go
+++ b/internal/coordination/gossiper/message_test.go
@@ -19,6 +19,9 @@
 				Incarnation:      identifier.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
 				Revision:         rapid.Uint64().Draw(t, "revision"),
 				Accepting:        rapid.Bool().Draw(t, "accepting"),
+				Generation:       rapid.Uint64().Draw(t, "generation"),
+				Service:          registrar.ServiceKey(rapid.Uint32().Draw(t, "service")),
+				Fleet:            uint32(count("fleet")),
 				StoreUnreachable: rapid.Bool().Draw(t, "cut"),
 				Load: registrar.Load{
 					Running: count("running"), Queued: count("queued"), Limit: count("limit"),
@@ -48,3 +51,18 @@
 		}
 	})
 }
+
+// Guards against status messages of daemons of the version before, which lack the last
+// three fields, that are not understood during an upgrade.
+func TestStatusOfEarlierVersion(t *testing.T) {
+	sent := statusMessage{StatusUpdate: registrar.StatusUpdate{Incarnation: 7, Revision: 3, Accepting: true}}
+	data := sent.encode()
+	earlier := data[1 : len(data)-optionalFields] // Each of the three is zero, one byte.
+	got, err := decodeStatus(earlier)
+	if err != nil || got != sent {
+		t.Fatalf("decoded as %+v, error %v", got, err)
+	}
+	if _, err := decodeStatus(earlier[:len(earlier)-1]); err == nil {
+		t.Error("a truncated message was decoded")
+	}
+}
