--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -167,9 +167,15 @@
 
 // BroadcastQuarantine adds quarantine entries to the next reports.
 func (g *Gossiper) BroadcastQuarantine(entries []quarantiner.Entry) {
+	g.queueEntries(entries, reportsPerEntry)
+}
+
+// queueEntries adds entries to a number of the next reports. A daemon that passes on
+// entries of another one does so once, since others do too.
+func (g *Gossiper) queueEntries(entries []quarantiner.Entry, reports int) {
 	g.mu.Lock()
 	for _, entry := range entries {
-		g.entries = append(g.entries, pendingEntry{entry, reportsPerEntry})
+		g.entries = append(g.entries, pendingEntry{entry, reports})
 	}
 	g.mu.Unlock()
 	g.TriggerBroadcast()
@@ -261,13 +267,14 @@
 	own, position := g.own(), g.config.Position()
 	g.config.Loaded(own)
 	g.mu.Lock()
-	changed := g.changed(own) || len(g.entries) > 0
+	changed := g.changed(own)
 	moved := position != g.lastPosition || own.StoreUnreachable != g.lastSent.StoreUnreachable
 	significant := significantChange(g.lastSent.Load, own.Load)
 	if changed || moved || significant || due {
 		g.lastSent, g.lastPosition = own, position
 	}
 	g.mu.Unlock()
+	g.sendEntries(own)
 	kind := spreader.Load
 	switch {
 	case changed || moved:
@@ -281,9 +288,8 @@
 		g.send(g.targets(kind), g.status(own, position), trafficStatus)
 		return
 	}
-	entries := g.dueEntries()
-	if data, ok := g.report(own, entries); ok {
-		g.send(g.reportTargets(kind, own.Service, len(entries) > 0), data, trafficReport)
+	if data, ok := g.report(own, nil); ok {
+		g.send(g.targets(kind), data, trafficReport)
 	}
 }
 
@@ -452,7 +458,7 @@
 	g.config.Loaded(m)
 	if len(report.Entries) > 0 && m.Service == g.config.Self().Service {
 		if added := g.config.Quarantined(report.Entries); len(added) > 0 {
-			g.BroadcastQuarantine(added)
+			g.queueEntries(added, 1)
 		}
 	}
 	g.checkPosition(report.Position, m)
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -46,16 +46,20 @@
 	return g.spread.Targets(kind, func(m registrar.Member) bool { _, uses := g.users[m.Incarnation]; return uses })
 }
 
-// reportTargets returns the members that a report is sent to. One with quarantine
-// entries also goes to members of the own service, which pass new entries on.
-func (g *Gossiper) reportTargets(kind spreader.Kind, service identifier.ServiceName, entries bool) []registrar.Member {
-	targets := g.targets(kind)
-	if !entries {
-		return targets
+// sendEntries sends the quarantine entries that are due to members of the own service,
+// which pass new ones on.
+func (g *Gossiper) sendEntries(own registrar.Member) {
+	entries := g.dueEntries()
+	if len(entries) == 0 {
+		return
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.spread.AddService(targets, service)
+	g.updateSpread()
+	targets := g.spread.OfService(own.Service)
+	g.mu.Unlock()
+	if data, ok := g.report(own, entries); ok {
+		g.send(targets, data, trafficReport)
+	}
 }
 
 func (g *Gossiper) send(to []registrar.Member, data []byte, kind trafficKind) {
--- a/internal/state/spreader/spreader.go
+++ b/internal/state/spreader/spreader.go
@@ -37,8 +37,9 @@
 	otherSample  = 2
 	// changeFanOut multiplies the samples for a change, so that it needs fewer rounds.
 	changeFanOut = 2
-	// serviceSample is the number of members of a service that AddService adds.
-	serviceSample = 12
+	// serviceSample bounds the members that OfService returns. If each passes on what it
+	// hears, one in exp(8) hears nothing.
+	serviceSample = 8
 	// introducedPerService and maxIntroduced bound the members that a new daemon sends
 	// its report to. Their answers are the first instances that it can use.
 	introducedPerService = 8
@@ -145,16 +146,13 @@
 	return targets
 }
 
-// AddService appends random members of a service that are no targets yet, so that each
-// of them has several chances to hear of what concerns the service alone.
-func (s *Spreader) AddService(targets []registrar.Member, service identifier.ServiceName) []registrar.Member {
+// OfService returns random members of a service, so that each of its members has
+// several chances to hear of what concerns the service alone.
+func (s *Spreader) OfService(service identifier.ServiceName) []registrar.Member {
 	members := s.matching(nil, s.same, func(m registrar.Member) bool { return m.Service == service })
 	members = s.matching(members, s.other, func(m registrar.Member) bool { return m.Service == service })
 	s.shuffle(members)
-	for _, m := range members[:min(len(members), serviceSample)] {
-		targets = s.addOnce(targets, m)
-	}
-	return targets
+	return members[:min(len(members), serviceSample)]
 }
 
 func (s *Spreader) addOnce(targets []registrar.Member, m registrar.Member) []registrar.Member {
