Log the rate limit and the leave that a backend server names in its answers

What was missing: the logs could not tell whether a limit was named, in which answers, and whether it was known when an attempt started.

Admission now logs each change of the limit with its source (a run or a health check) and the number of answers before it with and without a limit; the line of each attempt holds the limit in force.

--- a/internal/state/admitter/event.go
+++ b/internal/state/admitter/event.go
@@ -25,6 +25,9 @@
 	MaxWait timer.Millis
 }
 
+// Rate is a number of starts per second.
+type Rate float64
+
 // StartRateLimit bounds the starts within any second, for a backend server that
 // can only handle a limited request rate while it is cold. A PerSecond of zero
 // means no bound.
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -89,6 +89,8 @@
 	coldStart coldStart
 	load      BackendLoad
 	loadAt    timer.Millis
+	notice    Notice
+	noticeLog noticeLog
 	revision  uint64
 	// limit is the concurrency limit that was passed to the admitter.
 	limit     int
@@ -186,6 +188,7 @@
 	return admissionEnd{
 		request: string(a.config.Dialect.RequestID(&r.Request.Header)), attempt: r.Attempt.ID.String(),
 		backend: string(a.backend.ID), load: a.currentLoad(), loadAge: a.config.Clock.Now() - a.loadAt,
+		notice: a.notice,
 	}
 }
 
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -80,6 +80,8 @@
 	Classify(response *fasthttp.Response) Verdict
 	// Load returns the load that came with an answer.
 	Load(header *fasthttp.ResponseHeader) (BackendLoad, bool)
+	// Notice returns what the backend server says about itself in an answer.
+	Notice(header *fasthttp.ResponseHeader) Notice
 	// Health decodes an answer of the health page.
 	Health(response *fasthttp.Response) Health
 	// WriteRefusal replaces a response with a refusal by the daemon.
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -162,6 +162,7 @@
 	a.recordLoad(&r.Response.Header)
 	switch a.config.Dialect.Classify(r.Response) {
 	case Declined:
+		a.applyNotice(&r.Response.Header)
 		return notRun(admitter.Shed, classifier.Shed)
 	case Misdirected:
 		a.setDown("another backend server answered")
@@ -169,6 +170,7 @@
 	case Untrusted:
 		return unknown(admitter.Failed, classifier.IncompleteAnswer)
 	case Genuine:
+		a.applyNotice(&r.Response.Header)
 	}
 	removeHopHeaders(&r.Response.Header)
 	encoder.RemoveOwnHeaders(&r.Response.Header)
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -94,7 +94,7 @@
 	switch result {
 	case exchanger.Answered:
 		a.recordLoad(&response.Header)
-		a.applyHealth(a.config.Dialect.Health(response))
+		a.applyHealth(a.config.Dialect.Health(response), a.config.Dialect.Notice(&response.Header))
 	case exchanger.ConnectionRefused:
 		a.setDown("health check refused")
 	case exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
@@ -107,7 +107,7 @@
 }
 
 // applyHealth applies an answer of the health page.
-func (a *Admission) applyHealth(h Health) {
+func (a *Admission) applyHealth(h Health, n Notice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
@@ -125,6 +125,7 @@
 		return
 	}
 	a.down = false
+	a.recordNotice(n, sourceCheck)
 	a.coldStart.update(now, h.ColdFor)
 	a.setStartRateLimit(now)
 }
--- a/internal/transport/dispatcher/observer.go
+++ b/internal/transport/dispatcher/observer.go
@@ -140,6 +140,7 @@
 	// streamed says that the response was passed on as it arrived.
 	streamed bool
 	status   int
+	notice   Notice
 }
 
 // admissionEnded records the end of an attempt at admission.
@@ -162,5 +163,5 @@
 		slog.Int("slowdown_percent", int(e.load.SlowdownPercent)), slog.Bool("cold", e.load.Cold),
 		slog.Int64("load_age_ms", int64(e.loadAge)), slog.Int64("waited_ms", int64(e.waited)),
 		slog.Int64("ran_ms", int64(e.ran)), slog.Bool("reused_connection", e.reused),
-		slog.Bool("streamed", e.streamed))
+		slog.Bool("streamed", e.streamed), slog.Bool("limited", e.notice.Limited), slog.Float64("per_second", float64(e.notice.Rate)))
 }
--- a/internal/transport/dispatcher/solo_test.go
+++ b/internal/transport/dispatcher/solo_test.go
@@ -21,6 +21,8 @@
 
 func (plainDialect) Classify(*fasthttp.Response) Verdict { return Genuine }
 
+func (plainDialect) Notice(*fasthttp.ResponseHeader) Notice { return Notice{} }
+
 func (plainDialect) Load(*fasthttp.ResponseHeader) (BackendLoad, bool) { return BackendLoad{}, false }
 
 // newReadRun returns an attempt to read a path.
