Start no more attempts than the rate that a backend server names

Callers saw nothing; backend servers in need got up to twice the rate that they take. Cause: admission, the one place that all requests to a backend server pass, bounded its starts by slots and cold starts only. A rate that the backend server names was passed on to callers and read by nobody.

What cannot start in time is refused at once as rate_limited (not run); refused callers are told to return at the starts to come, one each. Load reports carry the time until the next start, so that senders pick other instances first. A daemon that has restarted, or whose backend server has, starts nothing until its first health check is answered, for 150 ms at most, and then one attempt at a time until an answer shows whether there is a limit.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -338,7 +338,7 @@
 func significantChange(previous, current registrar.Load) bool {
 	running := current.Running + current.Queued - previous.Running - previous.Queued
 	slowdown := current.SlowdownPercent - previous.SlowdownPercent
-	return current.Cold != previous.Cold || current.Limit != previous.Limit ||
+	return current.Cold != previous.Cold || current.StartDelayMs > previous.StartDelayMs || current.Limit != previous.Limit ||
 		max(running, -running) >= max(1, current.Limit/loadChangeDivisor) ||
 		max(slowdown, -slowdown)*slowdownChangeDivisor >= max(1, previous.SlowdownPercent)
 }
--- a/internal/coordination/gossiper/message.go
+++ b/internal/coordination/gossiper/message.go
@@ -51,8 +51,8 @@
 // statusFields is the number of varints in a status message. The last optionalFields
 // may be missing in those of earlier versions.
 const (
-	statusFields   = 12
-	optionalFields = 3
+	statusFields   = 13
+	optionalFields = 4
 )
 
 func (p statusMessage) encode() []byte {
@@ -70,7 +70,7 @@
 	for _, field := range [statusFields]uint64{
 		uint64(p.Incarnation), p.Revision, uint64(p.Position.Version), uint64(p.Position.Offset), flags,
 		uint64(p.Load.Running), uint64(p.Load.Queued), uint64(p.Load.Limit), uint64(p.Load.SlowdownPercent),
-		p.Generation, uint64(p.Service), uint64(p.Fleet),
+		p.Generation, uint64(p.Service), uint64(p.Fleet), uint64(p.Load.StartDelayMs),
 	} {
 		data = binary.AppendUvarint(data, field)
 	}
@@ -109,7 +109,7 @@
 			Incarnation: identifier.Incarnation(fields[0]), Revision: fields[1], Accepting: fields[4]&1 > 0, StoreUnreachable: fields[4]&4 > 0,
 			Load: registrar.Load{
 				Running: int32(fields[5]), Queued: int32(fields[6]), Limit: int32(fields[7]),
-				SlowdownPercent: int32(fields[8]), Cold: fields[4]&2 > 0,
+				SlowdownPercent: int32(fields[8]), Cold: fields[4]&2 > 0, StartDelayMs: int32(fields[12]),
 			},
 			Generation: fields[generationField], Service: registrar.ServiceKey(fields[serviceField]), Fleet: uint32(fields[11]),
 		},
--- a/internal/coordination/gossiper/message_test.go
+++ b/internal/coordination/gossiper/message_test.go
@@ -25,7 +25,7 @@
 				StoreUnreachable: rapid.Bool().Draw(t, "cut"),
 				Load: registrar.Load{
 					Running: count("running"), Queued: count("queued"), Limit: count("limit"),
-					SlowdownPercent: count("slowdown"), Cold: rapid.Bool().Draw(t, "cold"),
+					SlowdownPercent: count("slowdown"), StartDelayMs: count("start delay"), Cold: rapid.Bool().Draw(t, "cold"),
 				},
 			},
 			Position: Position{
@@ -46,18 +46,18 @@
 	f.Add([]byte{0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		p, err := decodeStatus(data)
-		if err == nil && (p.Load.Running < 0 || p.Load.Queued < 0 || p.Load.Limit < 0 || p.Load.SlowdownPercent < 0) {
+		if err == nil && (p.Load.Running < 0 || p.Load.Queued < 0 || p.Load.Limit < 0 || p.Load.SlowdownPercent < 0 || p.Load.StartDelayMs < 0) {
 			t.Fatalf("negative load %v decoded", p.Load)
 		}
 	})
 }
 
-// Guards against status messages of daemons of the version before, which lack the last
-// three fields, that are not understood during an upgrade.
+// Guards against status messages of daemons of earlier versions, which lack the last
+// fields, that are not understood during an upgrade.
 func TestStatusOfEarlierVersion(t *testing.T) {
 	sent := statusMessage{StatusUpdate: registrar.StatusUpdate{Incarnation: 7, Revision: 3, Accepting: true}}
 	data := sent.encode()
-	earlier := data[1 : len(data)-optionalFields] // Each of the three is zero, one byte.
+	earlier := data[1 : len(data)-optionalFields] // Each of them is zero, one byte.
 	got, err := decodeStatus(earlier)
 	if err != nil || got != sent {
 		t.Fatalf("decoded as %+v, error %v", got, err)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -108,6 +108,7 @@
 	"unknown":       "no complete answer was received; it may have run",
 	"overloaded":    "the wait for a slot would have been too long",
 	"cold":          "backend servers were in cold start and took no more",
+	"rate_limited":  "backend servers had named a rate of requests that was used up",
 	"slowed":        "VMs had become slow",
 	"too_slow":      "a run would not have finished in the time left",
 	"draining":      "a daemon or backend server was leaving",
--- a/internal/state/admitter/admitter.go
+++ b/internal/state/admitter/admitter.go
@@ -66,6 +66,7 @@
 	predecessor predecessor
 	ramp        ramp
 	startRate   startRate
+	allowance   allowance
 	queue       queue
 	running     map[identifier.AttemptID]run
 	soloRuns    bool
@@ -119,6 +120,8 @@
 		a.lastContact, a.contacted, a.soleMember = a.now, true, e.SoleMember
 	case StartRateLimit:
 		a.startRate.set(a.now, e)
+	case RateLimit:
+		a.allowance.set(a.now, e)
 	case Drain:
 		if !a.stopping {
 			a.stopping, a.drained = true, false
--- a/internal/state/admitter/event.go
+++ b/internal/state/admitter/event.go
@@ -38,6 +38,13 @@
 	Exhausted bool
 }
 
+// RateLimit bounds the mean rate of starts, for a backend server that names the rate
+// that it takes. It holds until the next RateLimit.
+type RateLimit struct {
+	Limited bool
+	Rate    Rate
+}
+
 // Complete reports that a started attempt ended.
 type Complete struct {
 	Attempt identifier.AttemptID
@@ -114,3 +121,4 @@
 func (Drain) event()          {}
 func (Restrict) event()       {}
 func (StartRateLimit) event() {}
+func (RateLimit) event()      {}
--- a/internal/state/admitter/gate.go
+++ b/internal/state/admitter/gate.go
@@ -63,7 +63,7 @@
 		return actions
 	}
 	limit, predecessors := a.limit(), a.predecessorRunning()
-	for i := 0; i < a.queue.len() && len(a.running)+predecessors < limit && a.startRate.allows(a.now); {
+	for i := 0; i < a.queue.len() && len(a.running)+predecessors < limit && a.startRate.allows(a.now) && a.allowance.allows(a.now); {
 		e := a.queue.entries[i]
 		switch {
 		case !e.solo:
@@ -83,6 +83,7 @@
 func (a *Admitter) startEntry(i int, actions []Action) []Action {
 	e := a.queue.remove(i)
 	a.startRate.started(a.now)
+	a.allowance.started(a.now)
 	a.running[e.attempt] = run{
 		fingerprint: e.fingerprint, hasFingerprint: e.hasFingerprint, solo: e.solo,
 		announcedSinceCrash: a.backend.announcedSinceCrash, epoch: a.ramp.epoch, incarnation: a.backend.incarnation,
@@ -122,6 +123,9 @@
 
 // overloadReason returns the reason for a full queue or a long wait.
 func (a *Admitter) overloadReason() classifier.Reason {
+	if !a.allowance.allows(a.now) {
+		return classifier.RateLimited
+	}
 	if a.ramp.cold && a.ramp.limit == a.limit() || !a.startRate.allows(a.now) {
 		return classifier.Cold
 	}
@@ -146,6 +150,8 @@
 			return max(retryMinimum, a.predictedWait(a.queue.len()+1))
 		}
 		return retryElsewhere
+	case classifier.RateLimited:
+		return max(retryMinimum, a.allowance.nextReturn(a.now, a.queue.len()+1))
 	case classifier.ConfigBehind:
 		return retryConfig
 	default:
@@ -161,5 +167,5 @@
 	if a.soloRuns {
 		rounds++
 	}
-	return max(timer.Millis(rounds*a.ramp.mean), a.startRate.wait(a.now, position))
+	return max(timer.Millis(rounds*a.ramp.mean), a.startRate.wait(a.now, position), a.allowance.wait(a.now, position))
 }
--- a/internal/state/admitter/load.go
+++ b/internal/state/admitter/load.go
@@ -13,6 +13,9 @@
 	Queued   int
 	Limit    int
 	Cold     bool
+	// StartDelay is the time until the rate that the backend server takes allows
+	// another start.
+	StartDelay timer.Millis
 	// MeanLatency is the moving mean latency of good answers in ms.
 	MeanLatency timer.Millis
 }
@@ -24,6 +27,7 @@
 		Queued:      a.queue.len(),
 		Limit:       a.limit(),
 		Cold:        a.ramp.cold,
+		StartDelay:  a.allowance.wait(a.now, a.queue.len()+1),
 		MeanLatency: timer.Millis(a.ramp.mean + 0.5),
 	}
 }
--- a/internal/state/classifier/classifier.go
+++ b/internal/state/classifier/classifier.go
@@ -36,6 +36,9 @@
 	// Cold means the same as Overloaded while the cold limit is the lowest one, or
 	// that the backend server is starting.
 	Cold Reason = "cold"
+	// RateLimited means that the rate of requests that the backend server takes is used
+	// up.
+	RateLimited Reason = "rate_limited"
 	// ConfigBehind means that the sender has a newer configuration.
 	ConfigBehind Reason = "config_behind"
 	// SenderBehind means that the sender's configuration is too old. Other instances
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -35,6 +35,9 @@
 	SlowdownPercent int32 `json:"slowdown_percent"`
 	// Cold reports whether the backend server is cold, so that starts are limited.
 	Cold bool `json:"cold,omitempty"`
+	// StartDelayMs is the time until the rate that the backend server takes allows
+	// another start, in ms.
+	StartDelayMs int32 `json:"start_delay_ms,omitempty"`
 }
 
 // Member is a daemon with the backend server beside it.
--- a/internal/state/selector/leastexpectedtime.go
+++ b/internal/state/selector/leastexpectedtime.go
@@ -29,6 +29,9 @@
 	// fiftieth of a run, and breaks ties in favour of the daemon's own.
 	remotePenalty = 0.3
 	percent       = 100
+	// delayedPenalty is above the expected time at any instance that may start an
+	// attempt at once.
+	delayedPenalty = 1000
 )
 
 // LeastExpectedTime picks the instance at which an attempt is expected to end
@@ -97,6 +100,9 @@
 		expected += (busy + 1 - limit) / limit * slowdown * kneeFactor
 	}
 	expected += loadWeight * min(share, 1)
+	if r.reported && r.age(now) < r.load.StartDelay {
+		expected += delayedPenalty
+	}
 	if r.Domain != l.domain {
 		expected += remotePenalty
 	}
--- a/internal/state/selector/policy.go
+++ b/internal/state/selector/policy.go
@@ -77,6 +77,8 @@
 	// SlowdownPercent is the time that work takes on the VM relative to the
 	// usual time, which is 100. Zero means that it is not known.
 	SlowdownPercent int32
+	// StartDelay is the time from the report until another start is allowed.
+	StartDelay timer.Millis
 	// MeanLatency is a moving average. Zero means that it is not known.
 	MeanLatency time.Duration
 	// ReceivedAt is the local time at which the report arrived.
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -89,8 +89,7 @@
 	coldStart coldStart
 	load      BackendLoad
 	loadAt    timer.Millis
-	notice    Notice
-	noticeLog noticeLog
+	notices   notices
 	revision  uint64
 	// limit is the concurrency limit that was passed to the admitter.
 	limit     int
@@ -188,7 +187,7 @@
 	return admissionEnd{
 		request: string(a.config.Dialect.RequestID(&r.Request.Header)), attempt: r.Attempt.ID.String(),
 		backend: string(a.backend.ID), load: a.currentLoad(), loadAge: a.config.Clock.Now() - a.loadAt,
-		notice: a.notice,
+		notice: a.notices.last,
 	}
 }
 
@@ -332,7 +331,7 @@
 	slots := int(a.backend.Slots)
 	a.limit = a.estimator.Limit(now, slots)
 	a.step(now, admitter.Limits{
-		Version: snapshot.Version, MaxInFlight: a.limit, MaxQueue: estimator.QueuePerSlot * slots,
+		Version: snapshot.Version, MaxInFlight: a.notices.maxRuns(now, a.healthPath(), a.limit), MaxQueue: estimator.QueuePerSlot * slots,
 		// A cold backend server is limited by its start rate, not by its slots.
 		ColdLimit: slots + 1, RampCompletions: 1, MaxTimeout: maxRunTime,
 	})
@@ -372,6 +371,13 @@
 		return true
 	}
 	a.down = false
+	if run != a.notices.run {
+		a.notices = notices{run: run}
+		a.step(now, admitter.RateLimit{})
+		if a.healthPath() != "" {
+			go a.startCheck()
+		}
+	}
 	a.coldStart.updateFromAnnouncement(now, b.ColdFor)
 	if known.ID != b.ID || known.State != b.State {
 		a.config.Logger.Info("backend server announced", "backend", b.ID, "state", b.State.String(), "slots", b.Slots)
@@ -434,5 +440,6 @@
 	return registrar.Load{
 		Running: int32(load.InFlight), Queued: int32(load.Queued), Limit: int32(load.Limit),
 		SlowdownPercent: int32(a.load.SlowdownPercent), Cold: a.coldStart.cold(a.config.Clock.Now()),
+		StartDelayMs: int32(load.StartDelay),
 	}
 }
--- a/internal/transport/dispatcher/fleet.go
+++ b/internal/transport/dispatcher/fleet.go
@@ -89,7 +89,7 @@
 	f.loads[instance] = loadReport{load, now}
 	f.policy.Step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
 		InFlight: load.Running, Queued: load.Queued, Limit: load.Limit, Cold: load.Cold,
-		SlowdownPercent: load.SlowdownPercent, ReceivedAt: now,
+		SlowdownPercent: load.SlowdownPercent, StartDelay: timer.Millis(load.StartDelayMs), ReceivedAt: now,
 	}})
 }
 
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -99,7 +99,11 @@
 		a.config.Logger.Warn("start of an attempt given up after a delay", "attempt", r.Attempt.ID.String(), "delay_ms", delay, "remaining_ms", d.remaining)
 		return false
 	}
-	a.config.Dialect.SetTarget(&r.Request.Header, a.Backend().ID, d.remaining-delay)
+	a.mu.Lock()
+	backend := a.backend.ID
+	r.backendRun = a.notices.run
+	a.mu.Unlock()
+	a.config.Dialect.SetTarget(&r.Request.Header, backend, d.remaining-delay)
 	return true
 }
 
@@ -162,7 +166,7 @@
 	a.recordLoad(&r.Response.Header)
 	switch a.config.Dialect.Classify(r.Response) {
 	case Declined:
-		a.applyNotice(&r.Response.Header)
+		a.applyNotice(r.backendRun, &r.Response.Header)
 		return notRun(admitter.Shed, classifier.Shed)
 	case Misdirected:
 		a.setDown("another backend server answered")
@@ -170,7 +174,7 @@
 	case Untrusted:
 		return unknown(admitter.Failed, classifier.IncompleteAnswer)
 	case Genuine:
-		a.applyNotice(&r.Response.Header)
+		a.applyNotice(r.backendRun, &r.Response.Header)
 	}
 	removeHopHeaders(&r.Response.Header)
 	encoder.RemoveOwnHeaders(&r.Response.Header)
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -44,6 +44,9 @@
 	now := a.config.Clock.Now()
 	a.step(now, admitter.Tick{})
 	a.setStartRateLimit(now)
+	if !a.notices.known {
+		a.applyLimits(now)
+	}
 	due := a.checkDue(now)
 	a.mu.Unlock()
 	if due {
@@ -59,6 +62,9 @@
 	if a.checkDone == nil {
 		a.checkDone = make(chan struct{})
 		a.checkedAt = a.config.Clock.Now()
+		if a.notices.checkedAt == 0 {
+			a.notices.checkedAt = a.checkedAt
+		}
 		go a.check(a.checkDone)
 	}
 	return a.checkDone
@@ -66,12 +72,13 @@
 
 // checkDue reports whether it is time for a health check.
 func (a *Admission) checkDue(now timer.Millis) bool {
-	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
-	if !found || service.HealthPath == "" || a.checkDone != nil {
+	if a.healthPath() == "" || a.checkDone != nil {
 		return false
 	}
 	interval := defaultCheckInterval
 	switch {
+	case a.notices.run > 0 && a.notices.checkedAt == 0:
+		interval = 0
 	case a.down || !a.coldStart.known:
 		interval = unknownCheckInterval
 	case a.load.SlowdownPercent >= slowPercent:
@@ -80,12 +87,20 @@
 	return now-max(a.checkedAt, a.loadAt) >= interval
 }
 
+// healthPath returns the path of the health page, or an empty string if there is none.
+func (a *Admission) healthPath() string {
+	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
+	if !found {
+		return ""
+	}
+	return service.HealthPath
+}
+
 // check requests the health and load of the backend server.
 func (a *Admission) check(ended chan struct{}) {
-	service, _ := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	request.Header.SetMethod(fasthttp.MethodGet)
-	request.Header.SetRequestURI(service.HealthPath)
+	request.Header.SetRequestURI(a.healthPath())
 	request.Header.SetHost(string(a.config.Address))
 	result := a.pool.Do(&exchanger.Call{
 		Request: request, Response: response, MaxReuseIdle: backendIdleTimeout, BodyLimit: maxHealthBytes,
--- a/internal/transport/dispatcher/load.go
+++ b/internal/transport/dispatcher/load.go
@@ -10,8 +10,12 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 )
 
-// loadFields is the number of fields of the load header.
-const loadFields = 5
+// loadFields is the number of fields of the load header. The last one is left out while
+// it is zero: earlier versions accept five fields only.
+const (
+	loadFields      = 6
+	leastLoadFields = loadFields - 1
+)
 
 // encodeLoad writes the load of the own instance into an answer.
 func encodeLoad(header *fasthttp.ResponseHeader, load registrar.Load) {
@@ -20,7 +24,10 @@
 	if load.Cold {
 		cold = 1
 	}
-	for i, field := range [loadFields]int32{load.Running, load.Queued, load.Limit, load.SlowdownPercent, cold} {
+	for i, field := range [loadFields]int32{load.Running, load.Queued, load.Limit, load.SlowdownPercent, cold, load.StartDelayMs} {
+		if i >= leastLoadFields && field == 0 {
+			break
+		}
 		if i > 0 {
 			buf = append(buf, ' ')
 		}
@@ -33,8 +40,8 @@
 func decodeLoad(header *fasthttp.ResponseHeader) (registrar.Load, error) {
 	text := string(header.Peek(encoder.HeaderLoad))
 	parts := strings.Fields(text)
-	if len(parts) != loadFields {
-		return registrar.Load{}, Error.New("%s %q does not have %d fields", encoder.HeaderLoad, text, loadFields)
+	if len(parts) < leastLoadFields || len(parts) > loadFields {
+		return registrar.Load{}, Error.New("%s %q does not have %d or %d fields", encoder.HeaderLoad, text, leastLoadFields, loadFields)
 	}
 	var fields [loadFields]int32
 	for i, part := range parts {
@@ -45,6 +52,6 @@
 		fields[i] = int32(value)
 	}
 	return registrar.Load{
-		Running: fields[0], Queued: fields[1], Limit: fields[2], SlowdownPercent: fields[3], Cold: fields[4] > 0,
+		Running: fields[0], Queued: fields[1], Limit: fields[2], SlowdownPercent: fields[3], Cold: fields[4] > 0, StartDelayMs: fields[5],
 	}, nil
 }
--- a/internal/transport/dispatcher/notice.go
+++ b/internal/transport/dispatcher/notice.go
@@ -4,6 +4,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/orderer"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
 // Notice is what a backend server says about itself in an answer, beside its load.
@@ -21,36 +23,70 @@
 	sourceCheck = "check"
 )
 
-// noticeLog counts the answers with and without a limit since the limit last changed.
-type noticeLog struct {
+// maxFirstCheck bounds the wait for the first health check of a run of the backend
+// server. It answers at once unless it hangs.
+const maxFirstCheck = 150 * timer.Millis(1)
+
+// notices holds what the current run of the backend server said last.
+type notices struct {
+	run    orderer.Run
+	last   Notice
+	known  bool
+	logged noticeCount
+	// checkedAt is the time of the first health check of the run. Zero means none.
+	checkedAt timer.Millis
+}
+
+// noticeCount counts the answers with and without a limit since the limit last changed.
+type noticeCount struct {
 	limited, unlimited uint64
 }
 
-// applyNotice takes the notice from an answer to a run.
-func (a *Admission) applyNotice(header *fasthttp.ResponseHeader) {
+// maxRuns bounds the concurrent runs while no answer has shown what the backend server
+// says about itself: a daemon before this one may have been told of a limit or a leave.
+func (n *notices) maxRuns(now timer.Millis, healthPath string, limit int) int {
+	switch {
+	case n.known:
+		return limit
+	case healthPath != "" && (n.checkedAt == 0 || now-n.checkedAt < maxFirstCheck):
+		return 0
+	}
+	return min(1, limit)
+}
+
+// applyNotice applies the notice in an answer to an attempt that was sent to a run of the
+// backend server.
+func (a *Admission) applyNotice(run orderer.Run, header *fasthttp.ResponseHeader) {
 	notice := a.config.Dialect.Notice(header)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.recordNotice(notice, sourceRun)
+	if run == a.notices.run {
+		a.recordNotice(notice, sourceRun)
+	}
 }
 
-// recordNotice logs changes of what the backend server says about itself. The caller
-// holds the lock.
+// recordNotice applies what the backend server says about itself. The caller holds the
+// lock.
 func (a *Admission) recordNotice(n Notice, source string) {
-	known := a.notice
-	a.notice = n
+	now, known, first := a.config.Clock.Now(), a.notices.last, !a.notices.known
+	a.notices.last, a.notices.known = n, true
+	count := &a.notices.logged
 	if n.Limited != known.Limited || n.Rate != known.Rate {
 		a.config.Logger.Info("rate limit of the backend server changed", "backend", a.backend.ID, "source", source,
 			"limited", n.Limited, "per_second", float64(n.Rate), "before_limited", known.Limited, "before_per_second", float64(known.Rate),
-			"answers_limited", a.noticeLog.limited, "answers_unlimited", a.noticeLog.unlimited)
-		a.noticeLog = noticeLog{}
+			"answers_limited", count.limited, "answers_unlimited", count.unlimited)
+		*count = noticeCount{}
+		a.step(now, admitter.RateLimit{Limited: n.Limited, Rate: n.Rate})
 	}
 	if n.Leaving != known.Leaving {
 		a.config.Logger.Info("backend server says in an answer whether it leaves", "backend", a.backend.ID, "source", source, "leaving", n.Leaving)
 	}
 	if n.Limited {
-		a.noticeLog.limited++
+		count.limited++
 	} else {
-		a.noticeLog.unlimited++
+		count.unlimited++
+	}
+	if first {
+		a.applyLimits(now)
 	}
 }
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/orderer"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -30,6 +31,8 @@
 	// largeBody is taken from that route.
 	largeBody bool
 	decided   chan decision
+	// backendRun is the run of the backend server to which the attempt was written.
+	backendRun orderer.Run
 
 	mu       sync.Mutex
 	call     *exchanger.Call
