Take a backend server out of use when its answers say that it leaves

Callers could lose their requests: a backend server that said in its answers that it leaves went on getting them for as long as no announcement said so, and again after the daemon beside it restarted and an announcement from before the leave arrived late. Cause: only announcements told admission of a leave; each answer says it too.

Change: an answer of a run or of a health check that says so counts as the announcement of the leave, which no later announcement of the same start undoes.

--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -353,6 +353,11 @@
 func (a *Admission) Announce(b Backend) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.announce(b)
+}
+
+// announce applies an announcement. The caller holds the lock.
+func (a *Admission) announce(b Backend) bool {
 	now, known := a.config.Clock.Now(), a.backend
 	unknown := !a.order.Known() && b.Incarnation == 0
 	run, current := a.order.Accept(now, a.config.Clock.Wall(), orderer.Announcement{
--- a/internal/transport/dispatcher/notice.go
+++ b/internal/transport/dispatcher/notice.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"math"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
@@ -78,8 +80,9 @@
 		*count = noticeCount{}
 		a.step(now, admitter.RateLimit{Limited: n.Limited, Rate: n.Rate})
 	}
-	if n.Leaving != known.Leaving {
-		a.config.Logger.Info("backend server says in an answer whether it leaves", "backend", a.backend.ID, "source", source, "leaving", n.Leaving)
+	if n.Leaving && a.backend.State != admitter.Draining {
+		a.config.Logger.Info("backend server says in an answer that it leaves", "backend", a.backend.ID, "source", source)
+		a.announce(Backend{ID: a.backend.ID, Incarnation: a.order.Start(), Sequence: math.MaxUint64, State: admitter.Draining})
 	}
 	if n.Limited {
 		count.limited++
