--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -180,7 +180,12 @@
 
 // adopt applies a snapshot if it is newer than the current one.
 func (d *Daemon) adopt(next *router.Snapshot) {
+	current := d.configuration.Snapshot()
 	if !d.configuration.Adopt(next) {
+		if next.Version > current.Version {
+			d.config.Logger.Warn("newer configuration rejected", "version", next.Version, "offset", next.Offset,
+				"current_version", current.Version, "current_offset", current.Offset)
+		}
 		return
 	}
 	d.config.Logger.Info("configuration in force", "version", next.Version, "offset", next.Offset,
