Order configurations by version and positions of the store by era

Callers got 404 for routes that had been added, and their requests were handled by an older version, for as long as it took the store to reach its old offset again.

A later version from an earlier position is taken now: versions rise, and after a loss the position says nothing of them.

The spec failed before (version 6 not in force after 10 s) and passes.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -175,22 +175,18 @@
 
 func (d *Daemon) position() gossiper.Position {
 	snapshot := d.configuration.Snapshot()
-	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset}
+	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset, Era: snapshot.Era}
 }
 
-// adopt applies a snapshot if it is newer than the current one.
+// adopt applies what is newer in a snapshot than in the current one.
 func (d *Daemon) adopt(next *router.Snapshot) {
-	current := d.configuration.Snapshot()
 	if !d.configuration.Adopt(next) {
-		if next.Version > current.Version {
-			d.config.Logger.Warn("newer configuration rejected", "version", next.Version, "offset", next.Offset,
-				"current_version", current.Version, "current_offset", current.Offset)
-		}
 		return
 	}
-	d.config.Logger.Info("configuration in force", "version", next.Version, "offset", next.Offset,
-		"routes", len(next.Routes), "out", next.OutOfService)
-	d.ingress.RetainRoutes(next)
+	current := d.configuration.Snapshot()
+	d.config.Logger.Info("configuration in force", "version", current.Version, "era", current.Era, "offset", current.Offset,
+		"routes", len(current.Routes), "out", current.OutOfService)
+	d.ingress.RetainRoutes(current)
 	d.admission.ApplyConfiguration()
 	d.gossiper.TriggerBroadcast()
 }
--- a/internal/assembler/sync.go
+++ b/internal/assembler/sync.go
@@ -181,7 +181,7 @@
 	if err == nil {
 		var snapshot *router.Snapshot
 		if snapshot, err = decodeSnapshot(body); err == nil {
-			d.config.Logger.Info("configuration fetched from a member", "member", m.Node, "version", snapshot.Version, "offset", snapshot.Offset)
+			d.config.Logger.Info("configuration fetched from a member", "member", m.Node, "version", snapshot.Version, "era", snapshot.Era, "offset", snapshot.Offset)
 			d.adopt(snapshot.Index())
 			return
 		}
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -427,7 +427,7 @@
 
 // checkPosition calls Ahead if a member has a newer configuration.
 func (g *Gossiper) checkPosition(theirs Position, m registrar.Member) {
-	if own := g.config.Position(); theirs.Offset > own.Offset || theirs.Version > own.Version {
+	if theirs.ahead(g.config.Position()) {
 		g.config.Ahead(m)
 	}
 }
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -77,9 +77,8 @@
 // wanted reports whether the report of a status message's sender is requested. The
 // lock must be held.
 func (g *Gossiper) wanted(now timer.Millis, status statusMessage) bool {
-	own := g.config.Position()
 	return g.table.Size() <= spreader.SmallFleet || status.Service == 0 || g.table.Knows(status.Incarnation) ||
-		status.Position.Offset > own.Offset || status.Position.Version > own.Version ||
+		status.Position.ahead(g.config.Position()) ||
 		spreader.Wanted(g.table.ActiveOf(now, status.Service), g.table.ActiveCount(now), g.config.Uses(status.Service))
 }
 
--- a/internal/coordination/gossiper/message.go
+++ b/internal/coordination/gossiper/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 )
 
@@ -20,10 +21,17 @@
 	kindReportRequest = 'q'
 )
 
-// Position is the version and the offset of a daemon's configuration.
+// Position is the version of a daemon's configuration and its position in the store.
 type Position struct {
 	Version identifier.Version `json:"version"`
 	Offset  identifier.Offset  `json:"offset"`
+	Era     identifier.Era     `json:"era,omitempty"`
+}
+
+// ahead reports whether a daemon at a position knows something newer than one at another.
+func (p Position) ahead(other Position) bool {
+	own := router.Position{Era: p.Era, Offset: p.Offset}
+	return p.Version > other.Version || router.Position{Era: other.Era, Offset: other.Offset}.Before(own)
 }
 
 // Report is the whole state that a daemon sends to others.
@@ -51,8 +59,8 @@
 // statusFields is the number of varints in a status message. The last optionalFields
 // may be missing in those of earlier versions.
 const (
-	statusFields   = 13
-	optionalFields = 4
+	statusFields   = 14
+	optionalFields = 5
 )
 
 func (p statusMessage) encode() []byte {
@@ -70,7 +78,7 @@
 	for _, field := range [statusFields]uint64{
 		uint64(p.Incarnation), p.Revision, uint64(p.Position.Version), uint64(p.Position.Offset), flags,
 		uint64(p.Load.Running), uint64(p.Load.Queued), uint64(p.Load.Limit), uint64(p.Load.SlowdownPercent),
-		p.Generation, uint64(p.Service), uint64(p.Fleet), uint64(p.Load.StartDelayMs),
+		p.Generation, uint64(p.Service), uint64(p.Fleet), uint64(p.Load.StartDelayMs), uint64(p.Position.Era),
 	} {
 		data = binary.AppendUvarint(data, field)
 	}
@@ -81,6 +89,7 @@
 const (
 	generationField = 9
 	serviceField    = 10
+	eraField        = 13
 )
 
 // maxCount bounds the counts in a status message, so that they fit an int32.
@@ -100,7 +109,7 @@
 		fields[i], data = value, data[n:]
 	}
 	for i := 5; i < statusFields; i++ {
-		if i != generationField && i != serviceField && fields[i] > maxCount || i == serviceField && fields[i] > math.MaxUint32 {
+		if i != generationField && i != serviceField && i != eraField && fields[i] > maxCount || i == serviceField && fields[i] > math.MaxUint32 {
 			return statusMessage{}, Error.New("status message has count %d in field %d", fields[i], i)
 		}
 	}
@@ -113,6 +122,6 @@
 			},
 			Generation: fields[generationField], Service: registrar.ServiceKey(fields[serviceField]), Fleet: uint32(fields[11]),
 		},
-		Position: Position{Version: identifier.Version(fields[2]), Offset: identifier.Offset(fields[3])},
+		Position: Position{Version: identifier.Version(fields[2]), Offset: identifier.Offset(fields[3]), Era: identifier.Era(fields[eraField])},
 	}, nil
 }
--- a/internal/coordination/gossiper/message_test.go
+++ b/internal/coordination/gossiper/message_test.go
@@ -31,6 +31,7 @@
 			Position: Position{
 				Version: identifier.Version(rapid.Uint64().Draw(t, "version")),
 				Offset:  identifier.Offset(rapid.Uint64().Draw(t, "offset")),
+				Era:     identifier.Era(rapid.Uint64().Draw(t, "era")),
 			},
 		}
 		parsed, err := decodeStatus(p.encode()[1:])
--- a/internal/state/router/snapshot.go
+++ b/internal/state/router/snapshot.go
@@ -12,8 +12,9 @@
 type Snapshot struct {
 	// Version is the version of the configuration. Zero means that none is known.
 	Version identifier.Version `json:"version"`
-	// Offset is the position of the store up to which the snapshot includes all
+	// Era and Offset are the position in the store up to which the snapshot includes all
 	// changes.
+	Era          identifier.Era             `json:"era,omitempty"`
 	Offset       identifier.Offset          `json:"offset"`
 	Routes       []Route                    `json:"routes"`
 	Services     []Service                  `json:"services"`
@@ -34,6 +35,10 @@
 	return s
 }
 
+// Position returns the position in the store up to which the snapshot includes all
+// changes.
+func (s *Snapshot) Position() Position { return Position{Era: s.Era, Offset: s.Offset} }
+
 // Lookup returns the route of a request.
 func (s *Snapshot) Lookup(host, path string) (*Route, bool) { return s.table.Lookup(host, path) }
 
@@ -70,17 +75,42 @@
 // Snapshot returns the snapshot in force.
 func (h *Holder) Snapshot() *Snapshot { return h.current.Load() }
 
-// Adopt puts a snapshot in force and reports whether it did. It rejects the same
-// version and offset, and an earlier version or offset, which would undo changes.
+// Adopt puts in force what is newer in a snapshot and reports whether anything was. The
+// configuration is ordered by its version, the failure domains by their position, so that
+// neither goes back.
 func (h *Holder) Adopt(next *Snapshot) bool {
 	for {
 		current := h.current.Load()
-		if next.Version < current.Version || next.Offset < current.Offset ||
-			next.Version == current.Version && next.Offset == current.Offset {
+		merged := current.merge(next)
+		if merged == current {
 			return false
 		}
-		if h.current.CompareAndSwap(current, next) {
+		if h.current.CompareAndSwap(current, merged) {
 			return true
 		}
 	}
 }
+
+// merge returns a snapshot with the newer parts of two. It is s if nothing is newer in
+// the other.
+func (s *Snapshot) merge(next *Snapshot) *Snapshot {
+	newer := next.Version > s.Version
+	later := s.Position().Before(next.Position())
+	switch {
+	case newer && (later || s.Version == 0):
+		return next
+	case newer:
+		return next.at(s)
+	case later:
+		return s.at(next)
+	}
+	return s
+}
+
+// at returns the configuration of s with the position and the failure domains of another
+// snapshot.
+func (s *Snapshot) at(other *Snapshot) *Snapshot {
+	merged := *s
+	merged.Era, merged.Offset, merged.OutOfService = other.Era, other.Offset, other.OutOfService
+	return &merged
+}
--- a/internal/transport/dispatcher/fleet.go
+++ b/internal/transport/dispatcher/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -19,12 +20,18 @@
 	policy      selector.Policy
 	members     map[identifier.InstanceID]registrar.Member
 	loads       map[identifier.InstanceID]loadReport
-	version     uint64
+	basis       fleetBasis
 	refreshedAt timer.Millis
 	window      *retrier.WindowBudget
 	answers     retrier.Latencies
 }
 
+// fleetBasis is what the members of a fleet were derived from.
+type fleetBasis struct {
+	members  uint64
+	position router.Position
+}
+
 // loadReport is the last load that an instance reported.
 type loadReport struct {
 	load registrar.Load
@@ -94,10 +101,10 @@
 }
 
 // setMembers sets the instances that may be picked.
-func (f *fleet) setMembers(now timer.Millis, version uint64, members []registrar.Member) {
+func (f *fleet) setMembers(now timer.Millis, basis fleetBasis, members []registrar.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version, f.refreshedAt = version, now
+	f.basis, f.refreshedAt = basis, now
 	old := f.members
 	f.members = make(map[identifier.InstanceID]registrar.Member, len(members))
 	instances := make([]selector.Instance, 0, len(members))
@@ -121,10 +128,10 @@
 }
 
 // refreshDue reports whether the members may have changed.
-func (f *fleet) refreshDue(now timer.Millis, version uint64) bool {
+func (f *fleet) refreshDue(now timer.Millis, basis fleetBasis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return version != f.version || now-f.refreshedAt >= maxMembersAge
+	return basis != f.basis || now-f.refreshedAt >= maxMembersAge
 }
 
 // lockedBudget makes the budget of a fleet safe for concurrent use.
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -232,8 +232,9 @@
 		}
 		i.mu.Unlock()
 	}
-	if version := i.config.Members.Version() + uint64(i.config.Configuration.Snapshot().Offset)<<32; f.refreshDue(now, version) {
-		f.setMembers(now, version, i.candidates(service))
+	basis := fleetBasis{members: i.config.Members.Version(), position: i.config.Configuration.Snapshot().Position()}
+	if f.refreshDue(now, basis) {
+		f.setMembers(now, basis, i.candidates(service))
 	}
 	return f
 }
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -37,6 +37,9 @@
 type (
 	// Version numbers accepted configurations, starting at 1. Zero means none.
 	Version uint64
+	// Era numbers the times between losses of acknowledged records of the log. Offsets
+	// of different eras cannot be compared.
+	Era uint64
 	// Offset is a position in a stream of the log.
 	Offset uint64
 	// Incarnation tells restarts of one process apart; a later one is larger.
