Store a leave that an answer says in the directory too

After a restart of the daemon a backend server that had said only in its answers that it leaves could be taken for a ready one by a daemon that learns of it from the directory. Cause: the leave was stored where announcements arrive, not where it takes effect. Change: admission reports each leave once, whatever it learned it from, and the daemon registers again.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -18,7 +18,6 @@
 	"github.com/zeebo/errs"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/gossiper"
-	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
@@ -114,8 +113,7 @@
 	encodedConfiguration configurationCache
 	newerMembers         newerMembers
 	// reregister wakes join when this daemon's entry has changed.
-	reregister     chan struct{}
-	leaveAnnounced atomic.Bool
+	reregister chan struct{}
 }
 
 // New builds a daemon.
@@ -135,7 +133,9 @@
 			Peer: config.Addresses.Peers, Report: config.Addresses.Reports, Service: config.Service,
 		},
 		Address: config.Addresses.Backend, Clock: timer.NewSteady(clock), Configuration: d.configuration, Dialect: config.Dialect, Bodies: config.Bodies,
-		LoadCheckTimeout: config.LoadCheck, OnChange: d.triggerBroadcast, OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
+		LoadCheckTimeout: config.LoadCheck, OnChange: d.triggerBroadcast,
+		OnLeave:   d.requestRegistration, // Stored in the directory, so that the leave survives a restart of the daemon.
+		OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
@@ -200,13 +200,6 @@
 func (d *Daemon) Announce(b dispatcher.Backend) {
 	if !d.admission.Announce(b) {
 		d.config.Logger.Debug("outdated announcement ignored", "backend", b.ID, "sequence", b.Sequence)
-		return
-	}
-	if b.State == admitter.Draining && !d.leaveAnnounced.Swap(true) {
-		d.requestRegistration() // Stored in the directory, so that the leave survives a restart of the daemon.
-	}
-	if b.State == admitter.Ready {
-		d.leaveAnnounced.Store(false)
 	}
 }
 
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -60,6 +60,9 @@
 	LoadCheckTimeout timer.Millis
 	// OnChange is called when the load or state has changed. It must not block.
 	OnChange func()
+	// OnLeave is called when the backend server has said that it leaves, once for each
+	// run. It must not block.
+	OnLeave func()
 	// OnAttempt is called with the daemon that sent an attempt. It must not block.
 	OnAttempt func(sender identifier.Incarnation)
 	// BroadcastQuarantine sends quarantine entries to the other daemons of the service.
@@ -80,6 +83,8 @@
 	estimator   *estimator.Estimator
 	runs        map[identifier.AttemptID]*Run
 	backend     Backend
+	// leftRun is the last run of the backend server that said that it leaves.
+	leftRun orderer.Run
 	// order decides which announcements of the backend server are current.
 	order *orderer.Orderer
 	// down says that the backend server cannot be reached or that another one has its
@@ -371,6 +376,10 @@
 		b.Slots = known.Slots // A leave does not report slots.
 	}
 	a.backend = b
+	if b.State == admitter.Draining && run != a.leftRun {
+		a.leftRun = run
+		a.config.OnLeave()
+	}
 	if unknown {
 		a.config.Logger.Info("leave of an unannounced backend server", "backend", b.ID)
 		return true
--- a/internal/transport/dispatcher/admission_test.go
+++ b/internal/transport/dispatcher/admission_test.go
@@ -23,7 +23,7 @@
 func newAdmission(senders *[]identifier.Incarnation) *Admission {
 	return NewAdmission(AdmissionConfig{
 		Member: registrar.Member{Node: "own", Service: "orders"}, Address: "127.0.0.1:1", Clock: timer.NewBoot(),
-		Configuration: router.NewHolder(), Dialect: plainDialect{}, OnChange: func() {},
+		Configuration: router.NewHolder(), Dialect: plainDialect{}, OnChange: func() {}, OnLeave: func() {},
 		OnAttempt: func(sender identifier.Incarnation) { *senders = append(*senders, sender) },
 		Logger:    slog.New(slog.DiscardHandler),
 	})
