Register again when the store has lost the descriptions of daemons

Callers could be refused while servers were free, and a backend server that had left could get requests again: the store had lost the descriptions of the daemons that joined, and the leaves that were stored, in the seconds before. Newcomers did not find such a daemon, nor it them, and a restart of the daemon beside the server that left found no leave. Cause: a daemon registered once for each start and each leave.

Change: a daemon whose configuration comes from a later era of the store registers again and reads the directory again, in this order, at a random time within a hundredth of a second for each member. Daemons that do not read the store learn of the era from those that do.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -114,6 +114,8 @@
 	newerMembers         newerMembers
 	// reregister wakes join when this daemon's entry has changed.
 	reregister chan struct{}
+	// directoryLost says that the directory may lack entries, so that join reads it again.
+	directoryLost atomic.Bool
 }
 
 // New builds a daemon.
@@ -180,10 +182,14 @@
 
 // adopt applies what is newer in a snapshot than in the current one.
 func (d *Daemon) adopt(next *router.Snapshot) {
+	before := d.configuration.Snapshot()
 	if !d.configuration.Adopt(next) {
 		return
 	}
 	current := d.configuration.Snapshot()
+	if before.Version > 0 && current.Era > before.Era {
+		d.restoreRegistration(current.Era)
+	}
 	d.config.Logger.Info("configuration in force", "version", current.Version, "era", current.Era, "offset", current.Offset,
 		"routes", len(current.Routes), "out", current.OutOfService)
 	d.ingress.RetainRoutes(current)
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -23,8 +23,10 @@
 	directoryJitter  = 400 * timer.Millis(1)
 )
 
-// join registers this daemon and reads the other members once. It registers again
-// whenever this daemon's entry has changed.
+// join registers this daemon and reads the other members once, in this order, so that of
+// two daemons that join at the same time one finds the other. It registers again whenever
+// this daemon's entry has changed, and also reads again after the directory has lost
+// entries: a daemon that started since may not have found this one.
 func (d *Daemon) join(ctx context.Context) {
 	membersKnown := false
 	for ctx.Err() == nil {
@@ -40,10 +42,27 @@
 		select {
 		case <-ctx.Done():
 		case <-d.reregister:
+			membersKnown = !d.directoryLost.Swap(false)
 		}
 	}
 }
 
+// restoredPerSecond is the number of registrations a second of all daemons after the
+// directory has lost entries. The platform's stores take several hundred writes.
+const restoredPerSecond = 100
+
+// restoreRegistration makes join run again after the directory has lost entries, at a
+// random time, since all daemons do so.
+func (d *Daemon) restoreRegistration(era identifier.Era) {
+	span := timer.Millis(d.gossiper.ActiveCount()) * timer.Second / restoredPerSecond
+	delay := timer.Millis(rand.Int64N(int64(span) + 1))
+	d.config.Logger.Info("directory has lost entries; registering again", "era", era, "delay_ms", delay)
+	time.AfterFunc(delay.Duration(), func() {
+		d.directoryLost.Store(true)
+		d.requestRegistration()
+	})
+}
+
 func (d *Daemon) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout.Duration())
 	defer cancel()
