--- /dev/null
+++ b/internal/state/router/control.go
@@ -0,0 +1,56 @@
+package router
+
+import "github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+
+// Control is what the daemons have agreed on through the platform's store: the progress of
+// roll-outs and the daemon that coordinates quotas.
+type Control struct {
+	// Era and Offset are the position in the stream of these records.
+	Era         identifier.Era    `json:"era,omitempty"`
+	Offset      identifier.Offset `json:"offset"`
+	Rollouts    []RolloutProgress `json:"rollouts,omitempty"`
+	Coordinator Coordinator       `json:"coordinator,omitzero"`
+}
+
+// Coordinator is the daemon that divides the quotas of client accounts among all daemons.
+type Coordinator struct {
+	Node        identifier.InstanceID  `json:"node"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	// Address receives reports by UDP.
+	Address identifier.Address `json:"address"`
+	// Epoch numbers the coordinators. Grants of an earlier one are ignored.
+	Epoch identifier.Epoch `json:"epoch"`
+}
+
+// Position returns the position up to which all records are included.
+func (c Control) Position() Position { return Position{Era: c.Era, Offset: c.Offset} }
+
+// merge returns the later of two. A final phase of a roll-out and a later coordinator are
+// kept if the store has lost their records.
+func (c Control) merge(next Control) Control {
+	if !c.Position().Before(next.Position()) {
+		return c
+	}
+	if next.Coordinator.Epoch < c.Coordinator.Epoch {
+		next.Coordinator = c.Coordinator
+	}
+	if next.Era == c.Era {
+		return next
+	}
+	for _, progress := range c.Rollouts {
+		if _, found := next.Progress(progress.Service); !found && progress.Phase.Final() {
+			next.Rollouts = append(next.Rollouts[:len(next.Rollouts):len(next.Rollouts)], progress)
+		}
+	}
+	return next
+}
+
+// Progress returns the progress of a service's roll-out.
+func (c Control) Progress(service identifier.ServiceName) (RolloutProgress, bool) {
+	for _, progress := range c.Rollouts {
+		if progress.Service == service {
+			return progress, true
+		}
+	}
+	return RolloutProgress{}, false
+}
--- a/internal/state/router/router.go
+++ b/internal/state/router/router.go
@@ -35,6 +35,8 @@
 	TargetLatency timer.Millis `json:"target_ms"`
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int `json:"priority"`
+	// Public requests need no key of a client account.
+	Public bool `json:"public,omitempty"`
 	// WeightedServices are the services that share the requests. At least one is
 	// required.
 	WeightedServices []WeightedService `json:"parts"`
--- a/internal/state/router/snapshot.go
+++ b/internal/state/router/snapshot.go
@@ -20,9 +20,15 @@
 	Services     []Service                  `json:"services"`
 	Limits       Limits                     `json:"limits"`
 	OutOfService []identifier.FailureDomain `json:"out"`
+	// Orders are the operator's roll-outs, as of Era and Offset.
+	Orders   []RolloutOrder `json:"orders,omitempty"`
+	Accounts []Account      `json:"accounts,omitempty"`
+	// Control is what the daemons have agreed on; it has a position of its own.
+	Control Control `json:"control,omitzero"`
 
 	table    *Table
 	services map[identifier.ServiceName]*Service
+	accounts map[KeyDigest]*Account
 }
 
 // Index prepares the snapshot for lookups. Call it once before Adopt.
@@ -32,6 +38,7 @@
 	for i := range s.Services {
 		s.services[s.Services[i].Name] = &s.Services[i]
 	}
+	s.accounts = indexAccounts(s.Accounts)
 	return s
 }
 
@@ -76,8 +83,8 @@
 func (h *Holder) Snapshot() *Snapshot { return h.current.Load() }
 
 // Adopt puts in force what is newer in a snapshot and reports whether anything was. The
-// configuration is ordered by its version, the failure domains by their position, so that
-// neither goes back.
+// configuration is ordered by its version, failure domains and orders by their position,
+// and Control by its own, so that none of them goes back.
 func (h *Holder) Adopt(next *Snapshot) bool {
 	for {
 		current := h.current.Load()
@@ -96,21 +103,33 @@
 func (s *Snapshot) merge(next *Snapshot) *Snapshot {
 	newer := next.Version > s.Version
 	later := s.Position().Before(next.Position())
+	merged := s
 	switch {
 	case newer && (later || s.Version == 0):
-		return next
+		merged = next
 	case newer:
-		return next.at(s)
+		merged = next.at(s)
 	case later:
-		return s.at(next)
+		merged = s.at(next)
 	}
-	return s
+	return merged.withControl(s.Control.merge(next.Control))
 }
 
-// at returns the configuration of s with the position and the failure domains of another
-// snapshot.
+// at returns the configuration of s with the position, the failure domains and the orders
+// of another snapshot.
 func (s *Snapshot) at(other *Snapshot) *Snapshot {
 	merged := *s
-	merged.Era, merged.Offset, merged.OutOfService = other.Era, other.Offset, other.OutOfService
+	merged.Era, merged.Offset = other.Era, other.Offset
+	merged.OutOfService, merged.Orders = other.OutOfService, other.Orders
+	return &merged
+}
+
+// withControl returns s, or a copy of it if its Control has another position.
+func (s *Snapshot) withControl(control Control) *Snapshot {
+	if control.Position() == s.Control.Position() {
+		return s
+	}
+	merged := *s
+	merged.Control = control
 	return &merged
 }
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -31,6 +31,10 @@
 	IdempotencyKey string
 	// Address is an IP address and port.
 	Address string
+	// ServiceVersion names a version of a service's software.
+	ServiceVersion string
+	// AccountName names a client account.
+	AccountName string
 )
 
 // Counters and units.
