Require the key of a client account and name the account to backend servers

Accounts with digests of their keys are now part of the configuration; a request on a route that is not public needs one known key, otherwise it gets a 401. The ingress removes the key and sets the account's name. Quotas are an interface of the ingress.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -120,6 +120,8 @@
 	"unavailable":   "a backend server could not be reached",
 	"domain_out":    "its failure domain was out of service",
 	"no_service":    "no route matched",
+	"unknown_key":   "it had no key of a client account, or not exactly one",
+	"over_quota":    "its client account had used up its quota",
 	"sender_behind": "the daemon's configuration was too old",
 	"quarantined":   "requests like it crashed backend servers",
 
--- a/internal/protocol/encoder/refusal.go
+++ b/internal/protocol/encoder/refusal.go
@@ -81,7 +81,9 @@
 		return fasthttp.StatusUnprocessableEntity
 	case classifier.KeyInProgress, classifier.KeyAlreadyRun, classifier.OwnerLost:
 		return fasthttp.StatusConflict
-	case classifier.TooManyRequests:
+	case classifier.UnknownKey:
+		return fasthttp.StatusUnauthorized
+	case classifier.TooManyRequests, classifier.OverQuota:
 		return fasthttp.StatusTooManyRequests
 	}
 	if r.Outcome == Unknown {
--- a/internal/state/classifier/classifier.go
+++ b/internal/state/classifier/classifier.go
@@ -27,6 +27,10 @@
 	OwnerLost        Reason = "key_owner_lost"
 	OwnerUnavailable Reason = "key_owner_unavailable"
 	TooManyRequests  Reason = "too_many_requests"
+	// UnknownKey means that the request has no key of a client account, or not exactly one.
+	UnknownKey Reason = "unknown_key"
+	// OverQuota means that the client account has used up its quota.
+	OverQuota Reason = "over_quota"
 )
 
 // Reasons for which admission refuses an attempt.
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -70,6 +70,12 @@
 	// PrepareRequest removes headers that callers may not set and adds the name of
 	// the calling service.
 	PrepareRequest(header *fasthttp.RequestHeader, caller identifier.ServiceName)
+	// Key returns the key of a client account in a request, or none. It is not valid if
+	// the request has several or an unreadable one.
+	Key(header *fasthttp.RequestHeader) (key []byte, valid bool)
+	// SetAccount removes the key and whatever the caller says of its account, and names
+	// the account to the backend server if there is one.
+	SetAccount(header *fasthttp.RequestHeader, account identifier.AccountName)
 	// SetTarget adds the backend server that may run the request and the time left
 	// for it.
 	SetTarget(header *fasthttp.RequestHeader, backend identifier.BackendID, left timer.Millis)
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -23,7 +23,11 @@
 
 // request is a caller's request after its route was found.
 type request struct {
-	route    *router.Route
+	route *router.Route
+	// account is the client account of the request; nil if there is none.
+	account *router.Account
+	// nested says that a backend server calls on behalf of another request.
+	nested   bool
 	service  identifier.ServiceName
 	fleet    *fleet
 	version  identifier.Version
@@ -191,7 +195,7 @@
 	details := encoder.Attempt{
 		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
 		Urgency: encoder.Urgency{
-			Priority: route.Priority, MaxWait: estimator.MaxWait(route.TargetLatency, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
+			Priority: e.request.account.Rank(route), MaxWait: estimator.MaxWait(route.TargetLatency, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
 			TargetRemaining: max(0, e.x.ReceivedAt+route.TargetLatency-now),
 		},
 	}
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -54,6 +54,8 @@
 	Dialect       Dialect
 	Bodies        BodyLimits
 	Retries       RetryBudget
+	// Quotas bounds the requests of client accounts.
+	Quotas Quotas
 	// OnNewerConfiguration is called when an instance has a newer configuration.
 	OnNewerConfiguration func(registrar.Member)
 	Logger               *slog.Logger
@@ -130,30 +132,50 @@
 	if snapshot.Version == 0 {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NotConfigured, RetryAfterMs: unconfiguredRetryAfter}, false
 	}
+	var key credential
+	refusal, answered := i.serveBy(x, snapshot, &key, end)
+	if answered || refusal.Reason != classifier.SenderBehind {
+		return refusal, answered
+	}
+	// Another daemon has a newer configuration, which routes the request to another
+	// service; nothing has run yet.
+	return i.serveBy(x, i.awaitNewerConfiguration(snapshot), &key, end)
+}
+
+// serveBy serves a request by one configuration. It returns false and a refusal if the
+// response holds no answer.
+func (i *Ingress) serveBy(x *exchanger.Exchange, snapshot *router.Snapshot, key *credential, end *requestEnd) (encoder.Refusal, bool) {
 	header := &x.Request.Header
 	route, found := snapshot.Lookup(string(header.Host()), pathOf(header.RequestURI()))
 	if !found {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}, false
 	}
+	end.route, end.version = route.Name, uint64(snapshot.Version)
 	deadline := x.ReceivedAt + route.Timeout
 	if left, given := i.config.Dialect.TimeLeft(header); given {
 		deadline = min(deadline, x.ReceivedAt+left)
 	}
+	end.timeLeft = deadline - x.ReceivedAt
+	account, allowed := i.accountOf(header, key, snapshot, route)
+	if !allowed {
+		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.UnknownKey}, false
+	}
+	end.account = nameOf(account)
 	if !route.Idempotent && !x.AwaitTurn() {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Deadline}, false
 	}
-	end.timeLeft = deadline - x.ReceivedAt
-	refusal, answered := i.sendToService(x, snapshot, route, deadline, end)
-	if answered || refusal.Reason != classifier.SenderBehind {
-		return refusal, answered
+	if current := i.config.Configuration.Snapshot(); current.Version > snapshot.Version {
+		return i.serveBy(x, current, key, end) // The key may have been withdrawn meanwhile.
 	}
-	// Another daemon has a newer configuration, which routes the request to another
-	// service; nothing has run yet.
-	newer := i.awaitNewerConfiguration(snapshot)
-	if route, found = newer.Lookup(string(header.Host()), pathOf(header.RequestURI())); !found {
-		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}, false
+	if refusal, admitted := i.admitAccount(account); !admitted {
+		return refusal, false
+	}
+	if snapshot.HasAccounts() {
+		i.config.Dialect.SetAccount(header, nameOf(account))
 	}
-	return i.sendToService(x, newer, route, deadline, end)
+	refusal, answered := i.sendToService(x, snapshot, route, account, deadline, end)
+	i.refundAccount(account, refusal, answered)
+	return refusal, answered
 }
 
 const (
@@ -178,7 +200,7 @@
 
 // sendToService sends a request to the service that its route names.
 func (i *Ingress) sendToService(
-	x *exchanger.Exchange, snapshot *router.Snapshot, route *router.Route, deadline timer.Millis, end *requestEnd,
+	x *exchanger.Exchange, snapshot *router.Snapshot, route *router.Route, account *router.Account, deadline timer.Millis, end *requestEnd,
 ) (encoder.Refusal, bool) {
 	header := &x.Request.Header
 	service := i.splitter.Pick(route)
@@ -187,9 +209,9 @@
 	now := i.config.Clock.Now()
 	fleet := i.fleet(now, service)
 	fleet.recordRequest(now, i.retryWindow())
-	end.route, end.service, end.version = route.Name, string(service), uint64(snapshot.Version)
+	end.service = string(service)
 	return i.exchange(x, &request{
-		route: route, service: service, fleet: fleet, version: snapshot.Version, deadline: deadline, end: end,
+		route: route, account: account, nested: account == nil && snapshot.HasAccounts(), service: service, fleet: fleet, version: snapshot.Version, deadline: deadline, end: end,
 	}).run()
 }
 
--- a/internal/transport/dispatcher/observer.go
+++ b/internal/transport/dispatcher/observer.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -52,9 +53,11 @@
 
 // requestEnd is how a caller's request ended.
 type requestEnd struct {
-	request  string
-	route    string
-	service  string
+	request string
+	route   string
+	service string
+	// account is the client account, if there is one.
+	account  identifier.AccountName
 	version  uint64
 	outcome  encoder.Outcome
 	reason   classifier.Reason
@@ -82,7 +85,7 @@
 	}
 	o.logger.LogAttrs(context.Background(), level, "request ended",
 		slog.String("request", e.request), slog.String("route", e.route), slog.String("service", e.service),
-		slog.Uint64("version", e.version), slog.String("outcome", string(e.outcome)), slog.String("reason", string(e.reason)),
+		slog.String("account", string(e.account)), slog.Uint64("version", e.version), slog.String("outcome", string(e.outcome)), slog.String("reason", string(e.reason)),
 		slog.Int("status", e.status), slog.Int("attempts", e.attempts), slog.Int("refused", e.refused),
 		slog.String("instance", e.instance), slog.Int64("retry_after_ms", int64(e.retryAfter)),
 		slog.Bool("streamed", e.streamed), slog.Int64("time_left_ms", int64(e.timeLeft)), slog.Int64("elapsed_ms", int64(e.elapsed)))
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -8,6 +8,8 @@
 //	parsed, err := identifier.ParseAttemptID(text)
 package identifier
 
+import "hash/fnv"
+
 // Names and ids that operators, settings or callers choose.
 type (
 	// ServiceName names a service of the sheet.
@@ -37,6 +39,14 @@
 	AccountName string
 )
 
+// Hash returns a short hash of the name, which is never zero. It stands for the account in
+// messages between daemons. Two accounts may share one; they are then treated as one there.
+func (a AccountName) Hash() uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(a)) // A hash does not fail.
+	return max(1, h.Sum32())
+}
+
 // Counters and units.
 type (
 	// Version numbers accepted configurations, starting at 1. Zero means none.
