Divide requests between the versions of a service at ingress and admission

A roll-out of the operator was ignored: instances of every version got requests alike. The ingress keeps the instances of the target version apart and sends it a share of its first attempts; admission refuses what the roll-out does not allow and counts the runs of its instance.

--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -27,6 +27,8 @@
 	Urgency  Urgency
 	// Target is the instance that the attempt is for, if the sender knows it.
 	Target identifier.InstanceID
+	// TargetVersion is the version that the sender chose in a roll-out of the service.
+	TargetVersion identifier.ServiceVersion
 }
 
 // Urgency controls how an attempt waits for its start. With the zero value it waits
@@ -107,6 +109,9 @@
 	if a.Target != "" {
 		header.Set(HeaderTarget, string(a.Target))
 	}
+	if a.TargetVersion != "" {
+		header.Set(HeaderTargetVersion, string(a.TargetVersion))
+	}
 	if a.Solo {
 		header.Set(HeaderSolo, "1")
 	}
@@ -144,9 +149,10 @@
 	}
 	*a = Attempt{
 		ID: id, Remaining: remaining, Version: identifier.Version(version), Depth: depth, Urgency: urgency,
-		Target:   identifier.InstanceID(header.Peek(HeaderTarget)),
-		Solo:     len(header.Peek(HeaderSolo)) > 0,
-		WantLoad: len(header.Peek(HeaderWantLoad)) > 0,
+		Target:        identifier.InstanceID(header.Peek(HeaderTarget)),
+		TargetVersion: identifier.ServiceVersion(header.Peek(HeaderTargetVersion)),
+		Solo:          len(header.Peek(HeaderSolo)) > 0,
+		WantLoad:      len(header.Peek(HeaderWantLoad)) > 0,
 	}
 	return nil
 }
--- a/internal/protocol/encoder/header.go
+++ b/internal/protocol/encoder/header.go
@@ -2,7 +2,7 @@
 // servers and encodes the values they carry.
 //
 // Callers see Service, Timeout, Depth, Outcome, Reason and RetryAfter. The
-// headers Attempt, Version, Solo, Load, WantLoad, Urgency and Target are used only
+// headers Attempt, Version, Solo, Load, WantLoad, Urgency, Target and TargetVersion are used only
 // between daemons; ingress removes them from callers' requests.
 //
 // # Usage
@@ -36,7 +36,9 @@
 	HeaderWantLoad = "Magnoliaknot-Want-Load"
 	HeaderUrgency  = "Magnoliaknot-Urgency"
 	HeaderTarget   = "Magnoliaknot-Target"
+	// HeaderTargetVersion names the version that the sender chose in a roll-out.
+	HeaderTargetVersion = "Magnoliaknot-Version"
 )
 
 // internalHeaders lists the headers that ingress removes from callers' requests.
-var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWantLoad, HeaderUrgency, HeaderTarget}
+var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWantLoad, HeaderUrgency, HeaderTarget, HeaderTargetVersion}
--- a/internal/state/classifier/classifier.go
+++ b/internal/state/classifier/classifier.go
@@ -48,6 +48,9 @@
 	TooSlow Reason = "too_slow"
 	// Slowed means that the VM is much slower than the sender assumed.
 	Slowed Reason = "slowed"
+	// VersionNotInService means that the roll-out of the service sends no requests, or not
+	// this one, to the version of the backend server.
+	VersionNotInService Reason = "version_not_in_service"
 	// Shed means that the backend server rejected the attempt.
 	Shed Reason = "shed"
 	// Quarantined means that the request crashes backend servers. Every instance of
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -54,7 +54,10 @@
 	Peer    identifier.Address     `json:"peer"`
 	Report  identifier.Address     `json:"report"`
 	Service identifier.ServiceName `json:"service"`
-	Slots   identifier.Slots       `json:"slots"`
+	// Version is that of the backend server. It is empty unless there is a roll-out of
+	// the service.
+	Version identifier.ServiceVersion `json:"version,omitempty"`
+	Slots   identifier.Slots          `json:"slots"`
 	// Backend and BackendStart identify the run of the backend server.
 	Backend      identifier.BackendID   `json:"backend,omitempty"`
 	BackendStart identifier.Incarnation `json:"backend_start,omitempty"`
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -41,6 +41,7 @@
 	// Sequence orders the announcements of one incarnation.
 	Sequence uint64
 	Slots    identifier.Slots
+	Version  identifier.ServiceVersion
 	State    admitter.BackendState
 	// ColdFor is how long it stays cold.
 	ColdFor timer.Millis
@@ -96,6 +97,7 @@
 	loadAt    timer.Millis
 	notices   notices
 	revision  uint64
+	rollout  rolloutState
 	// limit is the concurrency limit that was passed to the admitter.
 	limit     int
 	checkedAt timer.Millis
@@ -165,6 +167,9 @@
 	header := &r.Request.Header
 	snapshot := a.config.Configuration.Snapshot()
 	host, path := string(header.Host()), pathOf(header.RequestURI())
+	if !a.versionAdmits(snapshot, r.Attempt.TargetVersion) {
+		return refuse(classifier.VersionNotInService, 0).refusal, false
+	}
 	if r.Attempt.Version < snapshot.Version && !snapshot.RoutesTo(host, path, a.config.Member.Service) {
 		return refuse(classifier.SenderBehind, 0).refusal, false
 	}
@@ -375,6 +380,9 @@
 	if b.Slots == 0 && known.ID == b.ID {
 		b.Slots = known.Slots // A leave does not report slots.
 	}
+	if b.Version == "" && known.ID == b.ID {
+		b.Version = known.Version
+	}
 	a.backend = b
 	if b.State == admitter.Draining && run != a.leftRun {
 		a.leftRun = run
@@ -432,6 +440,7 @@
 	m.Load = a.currentLoad()
 	status := a.admitter.Status()
 	m.Accepting = status.Closed == "" && !status.Paused && !a.down && !a.stopping
+	a.describeVersion(&m)
 	return m, m.Accepting
 }
 
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -37,7 +37,9 @@
 	number retrier.Attempt
 	id     identifier.AttemptID
 	member registrar.Member
-	sentAt timer.Millis
+	// version is the target version of a roll-out that the attempt is for.
+	version identifier.ServiceVersion
+	sentAt  timer.Millis
 	// startedAt is when an attempt on the own instance started.
 	startedAt time.Time
 	loadAge   timer.Millis
@@ -176,20 +178,21 @@
 // send starts an attempt and reports false if no instance is left.
 func (e *exchange) send(number retrier.Attempt) bool {
 	now := e.now()
-	member, loadAt, found := e.request.fleet.pick(now, e.tried)
-	a := &attempt{number: number, member: member}
+	picked, found := e.request.fleet.pick(now, e.tried)
+	member := picked.member
+	a := &attempt{number: number, member: member, version: picked.version}
 	e.attempts = append(e.attempts, a)
 	if !found {
 		return false
 	}
 	a.sentAt = now
-	a.loadAge = now - loadAt
+	a.loadAge = now - picked.loadAt
 	e.tried = append(e.tried, member.Node)
 	i, route := e.ingress, e.request.route
 	a.id = identifier.AttemptID{Origin: identifier.Incarnation(i.incarnation.Load()), Sequence: i.sequence.Add(1)}
 	remaining := e.request.deadline - now
 	details := encoder.Attempt{
-		ID: a.id, Target: member.Node, Remaining: remaining, Version: e.request.version,
+		ID: a.id, Target: member.Node, TargetVersion: picked.version, Remaining: remaining, Version: e.request.version,
 		Urgency: encoder.Urgency{
 			Priority: route.Priority, MaxWait: estimator.MaxWait(route.TargetLatency, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
 			TargetRemaining: max(0, e.x.ReceivedAt+route.TargetLatency-now),
@@ -338,6 +341,9 @@
 	switch refusal.Reason {
 	case classifier.SenderBehind:
 		e.ingress.config.OnNewerConfiguration(a.member)
+	case classifier.VersionNotInService:
+		e.ingress.config.OnNewerConfiguration(a.member)
+		e.request.fleet.eject(e.now(), a.member.Node)
 	case classifier.DomainOut, classifier.Unavailable, classifier.Draining:
 		e.request.fleet.eject(e.now(), a.member.Node)
 	}
@@ -347,6 +353,18 @@
 	}, latency, selector.NotRun)
 }
 
+// recordVersion records how an attempt for the target version of a roll-out ended. The
+// daemon stops sending to a version that it sees failing, without asking others.
+func (e *exchange) recordVersion(a *attempt, result selector.Result) {
+	if a.version == "" || result == selector.NotRun || a.reason == classifier.Canceled {
+		return
+	}
+	failed := result == selector.Unknown || a.response.StatusCode() >= fasthttp.StatusInternalServerError
+	if e.request.fleet.recordVersion(a.version, failed) {
+		e.ingress.config.Logger.Warn("no more requests are sent to a failing version", "service", e.request.service, "version", a.version)
+	}
+}
+
 // recordAttempt records the end of an attempt.
 func (e *exchange) recordAttempt(a *attempt, event retrier.Event) {
 	end := attemptEnd{
@@ -363,6 +381,7 @@
 }
 
 func (e *exchange) endAttempt(a *attempt, event retrier.Event, latency time.Duration, result selector.Result) {
+	e.recordVersion(a, result)
 	e.request.fleet.recordAttemptEnd(e.now(), a.member.Node, latency, result)
 	e.recordAttempt(a, event)
 	end := attemptResult{event: event, attempt: a}
--- a/internal/transport/dispatcher/fleet.go
+++ b/internal/transport/dispatcher/fleet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/state/exposer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -18,6 +19,7 @@
 type fleet struct {
 	mu          sync.Mutex
 	policy      selector.Policy
+	versions    versions
 	members     map[identifier.InstanceID]registrar.Member
 	loads       map[identifier.InstanceID]loadReport
 	basis       fleetBasis
@@ -30,6 +32,7 @@
 type fleetBasis struct {
 	members  uint64
 	position router.Position
+	control  router.Position
 }
 
 // loadReport is the last load that an instance reported.
@@ -39,15 +42,28 @@
 }
 
 func newFleet(domain identifier.FailureDomain, window retrier.WindowBudgetConfig, now timer.Millis) *fleet {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &fleet{
-		policy:  selector.NewFilter(selector.NewLeastExpectedTime(domain, random)),
+		policy:  newPolicy(domain),
+		versions: versions{domain: domain, exposer: exposer.New()},
 		members: map[identifier.InstanceID]registrar.Member{},
 		loads:   map[identifier.InstanceID]loadReport{},
 		window:  retrier.NewWindowBudget(window, now),
 	}
 }
 
+func newPolicy(domain identifier.FailureDomain) selector.Policy {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return selector.NewFilter(selector.NewLeastExpectedTime(domain, random))
+}
+
+// step passes an event to the policies. Each ignores instances that it does not have.
+func (f *fleet) step(now timer.Millis, event selector.Event) {
+	f.policy.Step(now, event)
+	if f.versions.policy != nil {
+		f.versions.policy.Step(now, event)
+	}
+}
+
 // recordRequest counts a request for the retry budget.
 func (f *fleet) recordRequest(now timer.Millis, window retrier.WindowBudgetConfig) {
 	f.mu.Lock()
@@ -56,27 +72,42 @@
 	f.window.RecordRequest(now)
 }
 
-// pick chooses an instance, counts the attempt to it and returns when its load
-// was reported.
-func (f *fleet) pick(now timer.Millis, tried []identifier.InstanceID) (m registrar.Member, loadAt timer.Millis, found bool) {
+// choice is the instance that was picked for an attempt.
+type choice struct {
+	member registrar.Member
+	// loadAt is when its load was reported.
+	loadAt timer.Millis
+	// version is set if the instance was picked for the target version of a roll-out.
+	version identifier.ServiceVersion
+}
+
+// pick chooses an instance and counts the attempt to it.
+func (f *fleet) pick(now timer.Millis, tried []identifier.InstanceID) (choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	instance, found := f.policy.Pick(now, selector.Exclusions{Tried: tried})
+	instance, version, found := f.versions.pick(now, f.policy, tried)
 	if !found {
-		return registrar.Member{}, 0, false
+		return choice{}, false
 	}
-	f.policy.Step(now, selector.AttemptSent{Instance: instance})
-	m = f.members[instance]
+	f.step(now, selector.AttemptSent{Instance: instance})
+	c := choice{member: f.members[instance], version: version}
 	last := f.loads[instance]
-	m.Load = last.load
-	return m, last.at, true
+	c.member.Load, c.loadAt = last.load, last.at
+	return c, true
+}
+
+// recordVersion records whether an attempt for the target version of a roll-out failed.
+func (f *fleet) recordVersion(version identifier.ServiceVersion, failed bool) (halted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions.record(version, failed)
 }
 
 // recordAttemptEnd counts the end of an attempt.
 func (f *fleet) recordAttemptEnd(now timer.Millis, instance identifier.InstanceID, latency time.Duration, result selector.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.policy.Step(now, selector.AttemptEnded{Instance: instance, Latency: latency, Result: result})
+	f.step(now, selector.AttemptEnded{Instance: instance, Latency: latency, Result: result})
 	if result == selector.Complete {
 		f.answers.Observe(now, latency)
 	}
@@ -86,7 +117,7 @@
 func (f *fleet) eject(now timer.Millis, instance identifier.InstanceID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.policy.Step(now, selector.InstanceEjected{Instance: instance})
+	f.step(now, selector.InstanceEjected{Instance: instance})
 }
 
 // recordLoad records the load of an instance.
@@ -94,24 +125,33 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads[instance] = loadReport{load, now}
-	f.policy.Step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
+	f.step(now, selector.LoadReported{Instance: instance, Load: selector.Load{
 		InFlight: load.Running, Queued: load.Queued, Limit: load.Limit, Cold: load.Cold,
 		SlowdownPercent: load.SlowdownPercent, StartDelay: timer.Millis(load.StartDelayMs), ReceivedAt: now,
 	}})
 }
 
-// setMembers sets the instances that may be picked.
-func (f *fleet) setMembers(now timer.Millis, basis fleetBasis, members []registrar.Member) {
+// setMembers sets the instances that may be picked and the roll-out of the service, if
+// there is one.
+func (f *fleet) setMembers(now timer.Millis, basis fleetBasis, members []registrar.Member, rollout *router.Rollout) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.basis, f.refreshedAt = basis, now
 	old := f.members
 	f.members = make(map[identifier.InstanceID]registrar.Member, len(members))
 	instances := make([]selector.Instance, 0, len(members))
+	var targets []selector.Instance
 	var usable []identifier.InstanceID
 	for _, m := range members {
 		f.members[m.Node] = m
-		instances = append(instances, selector.Instance{ID: m.Node, Domain: m.FailureDomain, Slots: m.Slots})
+		instance := selector.Instance{ID: m.Node, Domain: m.FailureDomain, Slots: m.Slots}
+		switch roleOf(rollout, m.Version) {
+		case router.BaselineVersion:
+			instances = append(instances, instance)
+		case router.TargetVersion:
+			targets = append(targets, instance)
+		case router.RejectedVersion:
+		}
 		if known, found := old[m.Node]; !found || known.Incarnation != m.Incarnation {
 			usable = append(usable, m.Node)
 		}
@@ -122,8 +162,9 @@
 		}
 	}
 	f.policy.Step(now, selector.InstancesChanged{Instances: instances})
+	f.versions.set(now, rollout, targets)
 	for _, node := range usable {
-		f.policy.Step(now, selector.InstanceUsable{Instance: node})
+		f.step(now, selector.InstanceUsable{Instance: node})
 	}
 }
 
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -37,6 +37,9 @@
 	if end.answered && end.result == admitter.OK {
 		a.observeRun(r, before, latency)
 	}
+	if end.refusal.Outcome != encoder.NotRun && result != exchanger.Aborted {
+		a.recordRun(r, before, end.result != admitter.OK, latency)
+	}
 	a.finish(r, d, end.result, latency)
 	record.started, record.result, record.reason = true, end.result, end.refusal.Reason
 	record.ran, record.reused, record.streamed = latency, call.Reused, result == exchanger.Streaming
@@ -102,6 +105,7 @@
 	a.mu.Lock()
 	backend := a.backend.ID
 	r.backendRun = a.notices.run
+	a.rollout.lastStart = a.config.Clock.Now()
 	a.mu.Unlock()
 	a.config.Dialect.SetTarget(&r.Request.Header, backend, d.remaining-delay)
 	return true
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -144,11 +144,11 @@
 	}
 	end.timeLeft = deadline - x.ReceivedAt
 	refusal, answered := i.sendToService(x, snapshot, route, deadline, end)
-	if answered || refusal.Reason != classifier.SenderBehind {
+	if answered || refusal.Reason != classifier.SenderBehind && refusal.Reason != classifier.VersionNotInService {
 		return refusal, answered
 	}
 	// Another daemon has a newer configuration, which routes the request to another
-	// service; nothing has run yet.
+	// service or version; nothing has run yet.
 	newer := i.awaitNewerConfiguration(snapshot)
 	if route, found = newer.Lookup(string(header.Host()), pathOf(header.RequestURI())); !found {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}, false
@@ -163,13 +163,13 @@
 	newerConfigurationPoll    = 5 * timer.Millis(1)
 )
 
-// awaitNewerConfiguration waits up to newerConfigurationTimeout for a
-// configuration newer than a snapshot.
+// awaitNewerConfiguration waits up to newerConfigurationTimeout for a snapshot with a newer
+// configuration or a later state of a roll-out.
 func (i *Ingress) awaitNewerConfiguration(current *router.Snapshot) *router.Snapshot {
 	end := i.config.Clock.Now() + newerConfigurationTimeout
 	for {
 		snapshot := i.config.Configuration.Snapshot()
-		if snapshot.Version > current.Version || i.config.Clock.Now() >= end {
+		if snapshot.Version > current.Version || current.Control.Position().Before(snapshot.Control.Position()) || i.config.Clock.Now() >= end {
 			return snapshot
 		}
 		time.Sleep(newerConfigurationPoll.Duration())
@@ -232,9 +232,14 @@
 		}
 		i.mu.Unlock()
 	}
-	basis := fleetBasis{members: i.config.Members.Version(), position: i.config.Configuration.Snapshot().Position()}
+	snapshot := i.config.Configuration.Snapshot()
+	basis := fleetBasis{members: i.config.Members.Version(), position: snapshot.Position(), control: snapshot.Control.Position()}
 	if f.refreshDue(now, basis) {
-		f.setMembers(now, basis, i.candidates(service))
+		var rollout *router.Rollout
+		if r, found := snapshot.Rollout(service); found {
+			rollout = &r
+		}
+		f.setMembers(now, basis, i.candidates(service), rollout)
 	}
 	return f
 }
