--- a/internal/state/comparer/check.go
+++ b/internal/state/comparer/check.go
@@ -91,6 +91,9 @@
 			least = i
 		}
 	}
+	if least < 0 {
+		return routes[:1]
+	}
 	removed := routes[least]
 	routes = slices.Delete(routes, least, least+1)
 	other := slices.IndexFunc(routes, func(c RouteCounts) bool { return c.Route == OtherRoutes })
--- a/internal/state/comparer/histogram.go
+++ b/internal/state/comparer/histogram.go
@@ -40,15 +40,16 @@
 	return sum
 }
 
-// median returns the bucket of the median.
-func (h *Histogram) median() int {
-	sum, half := uint64(0), (h.total()+1)/2
+// median returns the position of the median in buckets; 4.5 is the middle of bucket 4.
+func (h *Histogram) median() float64 {
+	sum, half := 0.0, float64(h.total())/2
 	for i, n := range h {
-		if sum += uint64(n); sum >= half {
-			return i
+		if sum+float64(n) >= half && n > 0 {
+			return float64(i) + (half-sum)/float64(n)
 		}
+		sum += float64(n)
 	}
-	return timeBuckets - 1
+	return timeBuckets
 }
 
 func (h *Histogram) add(other *Histogram) {
--- a/internal/state/exposer/exposer.go
+++ b/internal/state/exposer/exposer.go
@@ -25,18 +25,20 @@
 	// haltFailures the number of failures among them from which no more are sent.
 	haltWindow   = 8
 	haltFailures = 4
-	// maxCredit is in attempts. More would allow a burst to a version that is not yet
-	// known to be good.
-	maxCredit = 1
-	percent   = 100
+	// attempt is the credit for one attempt. Shares are whole parts of it, rounded down, so
+	// that rounding errors never add up to an attempt.
+	attempt    = 1_000_000
+	perPercent = attempt / 100
 )
 
 // Exposer holds the credit of one daemon for one order and the results of its latest
 // marked attempts.
 type Exposer struct {
 	percent float64
-	credit  float64
-	// results holds the latest results as bits, the latest one lowest; 1 is a failure.
+	// credit is below attempt between calls of Take.
+	credit int
+	// results holds the results of the last haltWindow attempts as bits, the latest one
+	// lowest; 1 is a failure.
 	results uint8
 	halted  bool
 }
@@ -46,18 +48,18 @@
 
 // Take counts a first attempt and reports whether it goes to the target version, given the
 // share in percent that is in force. A change of the share discards the credit.
-func (e *Exposer) Take(share float64) bool {
-	if e.halted || !(share > 0) { // Also false for a share that is not a number.
+func (e *Exposer) Take(percent float64) bool {
+	if e.halted || !(percent > 0) { // Also false for a share that is not a number.
 		return false
 	}
-	if share != e.percent {
-		e.percent, e.credit = share, 0
+	if percent != e.percent {
+		e.percent, e.credit = percent, 0
 	}
-	e.credit = min(maxCredit, e.credit+share/percent)
-	if e.credit < maxCredit {
+	e.credit += int(min(percent, 100) * perPercent)
+	if e.credit < attempt {
 		return false
 	}
-	e.credit = 0
+	e.credit -= attempt
 	return true
 }
 
@@ -67,7 +69,7 @@
 	if failed {
 		e.results |= 1
 	}
-	if bits.OnesCount8(e.results) >= haltFailures {
+	if bits.OnesCount8(e.results&(1<<haltWindow-1)) >= haltFailures {
 		e.halted = true
 	}
 }
