--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -97,7 +97,7 @@
 	loadAt    timer.Millis
 	notices   notices
 	revision  uint64
-	rollout  rolloutState
+	rollout   rolloutState
 	// limit is the concurrency limit that was passed to the admitter.
 	limit     int
 	checkedAt timer.Millis
--- a/internal/transport/dispatcher/fleet.go
+++ b/internal/transport/dispatcher/fleet.go
@@ -43,11 +43,11 @@
 
 func newFleet(domain identifier.FailureDomain, window retrier.WindowBudgetConfig, now timer.Millis) *fleet {
 	return &fleet{
-		policy:  newPolicy(domain),
+		policy:   newPolicy(domain),
 		versions: versions{domain: domain, exposer: exposer.New()},
-		members: map[identifier.InstanceID]registrar.Member{},
-		loads:   map[identifier.InstanceID]loadReport{},
-		window:  retrier.NewWindowBudget(window, now),
+		members:  map[identifier.InstanceID]registrar.Member{},
+		loads:    map[identifier.InstanceID]loadReport{},
+		window:   retrier.NewWindowBudget(window, now),
 	}
 }
 
