Give the exchange of reports the position of roll-outs and the request for counts

Members with a later position of what the daemons have agreed on are fetched from, as those with a later configuration. Status messages keep their bytes while there is no such position, and earlier daemons ignore the two further fields.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -27,6 +27,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/state/comparer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
@@ -83,7 +84,13 @@
 	// Quarantined is called with entries of members of the same service and returns
 	// those that were new, which are passed on.
 	Quarantined func([]quarantiner.Entry) []quarantiner.Entry
-	Logger      *slog.Logger
+	// Outcomes returns what this daemon's backend server has counted in the roll-out of a
+	// service, or false if there is nothing to report. Halt says that the version of this
+	// backend server is to get no more requests. It may be nil.
+	Outcomes func(service registrar.ServiceKey, halt bool) (comparer.Report, bool)
+	// Counted is called with each answer to AskOutcomes. It may be nil.
+	Counted func(comparer.Report)
+	Logger  *slog.Logger
 }
 
 // Gossiper exchanges reports. It is safe for concurrent use.
@@ -109,6 +116,8 @@
 	newest     registrar.Member
 	generation uint64
 	traffic    traffic
+	decision   decision
+	outcomes   outcomes
 }
 
 type pendingEntry struct {
@@ -130,7 +139,7 @@
 		config: config, conn: conn, trigger: make(chan struct{}, 1),
 		self: config.Self().Node, table: registrar.New(config.Self().Node),
 		spread: spreader.New(config.FailureDomain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		users:  map[identifier.Incarnation]timer.Millis{}, traffic: newTraffic(),
+		users:  map[identifier.Incarnation]timer.Millis{}, traffic: newTraffic(), outcomes: newOutcomes(),
 	}, nil
 }
 
@@ -259,6 +268,7 @@
 			delete(g.users, sender)
 		}
 	}
+	g.outcomes.retain(g.table.Knows)
 }
 
 // broadcast sends changes to other daemons. If due is set, it sends at least a
@@ -398,6 +408,10 @@
 			return Error.New("report has no node")
 		}
 		g.receiveReport(report)
+	case kindOutcomesRequest:
+		return g.answerOutcomes(data[1:], from)
+	case kindOutcomes:
+		return g.receiveOutcomes(data[1:])
 	default:
 		return Error.New("unknown datagram kind %d", data[0])
 	}
--- a/internal/coordination/gossiper/message.go
+++ b/internal/coordination/gossiper/message.go
@@ -19,6 +19,10 @@
 	kindStatus = 'p'
 	// kindReportRequest requests a report from the receiver.
 	kindReportRequest = 'q'
+	// kindOutcomesRequest is an outcomesRequest.
+	kindOutcomesRequest = 'o'
+	// kindOutcomes is a comparer.Report in JSON.
+	kindOutcomes = 'O'
 )
 
 // Position is the version of a daemon's configuration and its position in the store.
@@ -26,12 +30,14 @@
 	Version identifier.Version `json:"version"`
 	Offset  identifier.Offset  `json:"offset"`
 	Era     identifier.Era     `json:"era,omitempty"`
+	// Control is the position of what the daemons have agreed on through the store.
+	Control router.Position `json:"control,omitzero"`
 }
 
 // ahead reports whether a daemon at a position knows something newer than one at another.
 func (p Position) ahead(other Position) bool {
 	own := router.Position{Era: p.Era, Offset: p.Offset}
-	return p.Version > other.Version || router.Position{Era: other.Era, Offset: other.Offset}.Before(own)
+	return p.Version > other.Version || router.Position{Era: other.Era, Offset: other.Offset}.Before(own) || other.Control.Before(p.Control)
 }
 
 // Report is the whole state that a daemon sends to others.
@@ -57,10 +63,12 @@
 }
 
 // statusFields is the number of varints in a status message. The last optionalFields
-// may be missing in those of earlier versions.
+// may be missing in those of earlier versions, which ignore what follows the fields that
+// they know. The last controlFields are left out while they are zero.
 const (
-	statusFields   = 14
-	optionalFields = 5
+	statusFields   = 16
+	optionalFields = 7
+	controlFields  = 2
 )
 
 func (p statusMessage) encode() []byte {
@@ -74,24 +82,48 @@
 	if p.StoreUnreachable {
 		flags |= 4
 	}
-	data := []byte{kindStatus}
-	for _, field := range [statusFields]uint64{
+	fields := [statusFields]uint64{
 		uint64(p.Incarnation), p.Revision, uint64(p.Position.Version), uint64(p.Position.Offset), flags,
 		uint64(p.Load.Running), uint64(p.Load.Queued), uint64(p.Load.Limit), uint64(p.Load.SlowdownPercent),
 		p.Generation, uint64(p.Service), uint64(p.Fleet), uint64(p.Load.StartDelayMs), uint64(p.Position.Era),
-	} {
+		uint64(p.Position.Control.Era), uint64(p.Position.Control.Offset),
+	}
+	sent := fields[:]
+	if p.Position.Control == (router.Position{}) {
+		sent = fields[:statusFields-controlFields]
+	}
+	data := []byte{kindStatus}
+	for _, field := range sent {
 		data = binary.AppendUvarint(data, field)
 	}
 	return data
 }
 
-// Positions of fields that are no counts.
+// Positions of fields: the first count, and those after it that are no counts.
 const (
-	generationField = 9
-	serviceField    = 10
-	eraField        = 13
+	firstCount         = 5
+	generationField    = 9
+	serviceField       = 10
+	eraField           = 13
+	controlEraField    = 14
+	controlOffsetField = 15
 )
 
+// checkCount returns an error if a field of a status message is out of its range.
+func checkCount(field int, value uint64) error {
+	limit := uint64(maxCount)
+	switch field {
+	case generationField, eraField, controlEraField, controlOffsetField:
+		return nil
+	case serviceField:
+		limit = math.MaxUint32
+	}
+	if value > limit {
+		return Error.New("status message has count %d in field %d", value, field)
+	}
+	return nil
+}
+
 // maxCount bounds the counts in a status message, so that they fit an int32.
 const maxCount = 1 << 30
 
@@ -108,9 +140,9 @@
 		}
 		fields[i], data = value, data[n:]
 	}
-	for i := 5; i < statusFields; i++ {
-		if i != generationField && i != serviceField && i != eraField && fields[i] > maxCount || i == serviceField && fields[i] > math.MaxUint32 {
-			return statusMessage{}, Error.New("status message has count %d in field %d", fields[i], i)
+	for i := firstCount; i < statusFields; i++ {
+		if err := checkCount(i, fields[i]); err != nil {
+			return statusMessage{}, err
 		}
 	}
 	return statusMessage{
@@ -122,6 +154,9 @@
 			},
 			Generation: fields[generationField], Service: registrar.ServiceKey(fields[serviceField]), Fleet: uint32(fields[11]),
 		},
-		Position: Position{Version: identifier.Version(fields[2]), Offset: identifier.Offset(fields[3]), Era: identifier.Era(fields[eraField])},
+		Position: Position{
+			Version: identifier.Version(fields[2]), Offset: identifier.Offset(fields[3]), Era: identifier.Era(fields[eraField]),
+			Control: router.Position{Era: identifier.Era(fields[controlEraField]), Offset: identifier.Offset(fields[controlOffsetField])},
+		},
 	}, nil
 }
--- a/internal/coordination/gossiper/traffic.go
+++ b/internal/coordination/gossiper/traffic.go
@@ -13,6 +13,7 @@
 const (
 	trafficStatus trafficKind = iota
 	trafficReport
+	trafficRequest
 	trafficKinds
 )
 
@@ -41,7 +42,7 @@
 
 func newTraffic() traffic {
 	t := traffic{answers: newTrafficCounter("answer", "unknown")}
-	for kind, name := range [trafficKinds]string{"status", "report"} {
+	for kind, name := range [trafficKinds]string{"status", "report", "request"} {
 		t.same[kind] = newTrafficCounter(name, "same")
 		t.other[kind] = newTrafficCounter(name, "other")
 	}
--- a/internal/state/registrar/election.go
+++ b/internal/state/registrar/election.go
@@ -31,9 +31,7 @@
 			candidates = append(candidates, e.member)
 		}
 	}
-	slices.SortFunc(candidates, func(x, y Member) int {
-		return cmp.Or(cmp.Compare(rank(x.Node), rank(y.Node)), byNode(x, y))
-	})
+	slices.SortFunc(candidates, byRank)
 	connected := 0
 	for position, m := range candidates {
 		if m.Node == self.Node {
@@ -46,6 +44,35 @@
 	return false
 }
 
+// maxUnheard bounds the members that a deciding daemon asks whether they still run.
+const maxUnheard = 8
+
+// Deciding reports whether a daemon is the first of the readers that reaches the
+// platform's store. In a large fleet, where only some members report to it, better ranked
+// ones may run unheard: it returns the first of those, so that they are asked before the
+// daemon decides.
+func (r *Registrar) Deciding(now timer.Millis, self Member) (first bool, unheard []Member) {
+	if self.StoreUnreachable {
+		return false, nil
+	}
+	for _, e := range r.entries {
+		if byRank(self, e.member) < 0 {
+			continue
+		}
+		switch heard := e.reported && now-e.lastSeen <= silenceTimeout; {
+		case heard && !e.member.StoreUnreachable:
+			return false, nil
+		case !heard:
+			unheard = append(unheard, e.member)
+		}
+	}
+	slices.SortFunc(unheard, byRank)
+	return true, unheard[:min(len(unheard), maxUnheard)]
+}
+
+// byRank orders the candidates of the election.
+func byRank(x, y Member) int { return cmp.Or(cmp.Compare(rank(x.Node), rank(y.Node)), byNode(x, y)) }
+
 // rank hashes the name of a node, so that the readers spread over failure domains
 // and services, whose members have similar names.
 func rank(node identifier.InstanceID) uint64 {
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -55,6 +55,9 @@
 	Report  identifier.Address     `json:"report"`
 	Service identifier.ServiceName `json:"service"`
 	Slots   identifier.Slots       `json:"slots"`
+	// Version is the version of the backend server, while the configuration holds an order
+	// for its service.
+	Version identifier.ServiceVersion `json:"version,omitempty"`
 	// Backend and BackendStart identify the run of the backend server.
 	Backend      identifier.BackendID   `json:"backend,omitempty"`
 	BackendStart identifier.Incarnation `json:"backend_start,omitempty"`
--- a/internal/state/router/control.go
+++ b/internal/state/router/control.go
@@ -1,6 +1,10 @@
 package router
 
-import "github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+import (
+	"slices"
+
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+)
 
 // Control is what the daemons have agreed on through the platform's store: the progress of
 // roll-outs and the daemon that coordinates quotas.
@@ -37,14 +41,34 @@
 	if next.Era == c.Era {
 		return next
 	}
-	for _, progress := range c.Rollouts {
-		if _, found := next.Progress(progress.Service); !found && progress.Phase.Final() {
-			next.Rollouts = append(next.Rollouts[:len(next.Rollouts):len(next.Rollouts)], progress)
+	for _, known := range c.Rollouts {
+		if stored, found := next.Progress(known.Service); known.Phase.Final() && (!found || stored.precedes(known)) {
+			next.Rollouts = replaceProgress(next.Rollouts, known)
 		}
 	}
 	return next
 }
 
+// With returns Control after the record of a roll-out's progress at the given end of the
+// stream.
+func (c Control) With(progress RolloutProgress, end Position) Control {
+	c.Rollouts = replaceProgress(c.Rollouts, progress)
+	c.Era, c.Offset = end.Era, end.Offset
+	return c
+}
+
+// replaceProgress returns a copy of a list with the progress of one service replaced or
+// added.
+func replaceProgress(list []RolloutProgress, progress RolloutProgress) []RolloutProgress {
+	list = slices.Clone(list)
+	at := slices.IndexFunc(list, func(p RolloutProgress) bool { return p.Service == progress.Service })
+	if at < 0 {
+		return append(list, progress)
+	}
+	list[at] = progress
+	return list
+}
+
 // Progress returns the progress of a service's roll-out.
 func (c Control) Progress(service identifier.ServiceName) (RolloutProgress, bool) {
 	for _, progress := range c.Rollouts {
--- a/internal/state/router/position.go
+++ b/internal/state/router/position.go
@@ -5,8 +5,8 @@
 // Position is a position in the platform's store. Offsets of an era begin again at lower
 // ones than those of the era before.
 type Position struct {
-	Era    identifier.Era
-	Offset identifier.Offset
+	Era    identifier.Era    `json:"era,omitempty"`
+	Offset identifier.Offset `json:"offset"`
 }
 
 // Before reports whether a position is earlier than another.
--- a/internal/state/router/rollout.go
+++ b/internal/state/router/rollout.go
@@ -50,6 +50,14 @@
 	Rejected []identifier.ServiceVersion `json:"rejected,omitempty"`
 }
 
+// precedes reports whether a restored store holds progress from before a known final one.
+func (p RolloutProgress) precedes(final RolloutProgress) bool {
+	if p.Target == final.Target {
+		return !p.Phase.Final()
+	}
+	return p.StartedAt < final.StartedAt
+}
+
 // Rollout is the state of a service's roll-out as requests are routed by it.
 type Rollout struct {
 	RolloutProgress
--- a/internal/state/router/snapshot.go
+++ b/internal/state/router/snapshot.go
@@ -103,6 +103,7 @@
 func (s *Snapshot) merge(next *Snapshot) *Snapshot {
 	newer := next.Version > s.Version
 	later := s.Position().Before(next.Position())
+	control := s.Control.merge(next.Control)
 	merged := s
 	switch {
 	case newer && (later || s.Version == 0):
@@ -112,7 +113,10 @@
 	case later:
 		merged = s.at(next)
 	}
-	return merged.withControl(s.Control.merge(next.Control))
+	if merged == s && control.Position() == s.Control.Position() {
+		return s
+	}
+	return merged.withControl(control)
 }
 
 // at returns the configuration of s with the position, the failure domains and the orders
@@ -124,11 +128,9 @@
 	return &merged
 }
 
-// withControl returns s, or a copy of it if its Control has another position.
+// withControl returns a copy of s with another Control. Control is not compared by its
+// position: at the same one, a merged Control may hold more than the store does.
 func (s *Snapshot) withControl(control Control) *Snapshot {
-	if control.Position() == s.Control.Position() {
-		return s
-	}
 	merged := *s
 	merged.Control = control
 	return &merged
