--- a/internal/state/registrar/election_test.go
+++ b/internal/state/registrar/election_test.go
@@ -71,3 +71,71 @@
 		})
 	}
 })
+
+var _ = Describe("the deciding daemon", func() {
+	const now = 10 * timer.Second
+	fleet := func(count int, change func(i int, m *registrar.Member)) []registrar.Member {
+		members := make([]registrar.Member, count)
+		for i := range members {
+			members[i] = member(identifier.InstanceID(fmt.Sprintf("vm-%d", i)), identifier.Incarnation(i+1), 1)
+			members[i].Peer = ""
+			change(i, &members[i])
+		}
+		return members
+	}
+	deciding := func(members []registrar.Member, lastSeen func(i int) timer.Millis) (chosen []int, asked int) {
+		for self := range members {
+			table := registrar.New(members[self].Node)
+			for i := range members {
+				table.Observe(lastSeen(i), members[i])
+			}
+			first, unheard := table.Deciding(now, members[self])
+			if first {
+				chosen = append(chosen, self)
+				asked += len(unheard)
+			}
+		}
+		return chosen, asked
+	}
+	heard := func(int) timer.Millis { return now }
+
+	It("guards against none or several that decide, and against one that is not an elected reader", func() {
+		members := fleet(60, func(i int, m *registrar.Member) { m.StoreUnreachable = i%2 == 0 })
+		chosen, asked := deciding(members, heard)
+		Expect(chosen).To(HaveLen(1))
+		Expect(asked).To(BeZero())
+		Expect(chosen[0]%2).To(Equal(1), "it does not reach the store")
+		table := registrar.New(members[chosen[0]].Node)
+		for i := range members {
+			table.Observe(now, members[i])
+		}
+		Expect(table.Elected(now, members[chosen[0]])).To(BeTrue())
+	})
+
+	It("guards against a roll-out that stops with the deciding daemon", func() {
+		members := fleet(20, func(int, *registrar.Member) {})
+		first, _ := deciding(members, heard)
+		next, asked := deciding(members, func(i int) timer.Millis {
+			if i == first[0] {
+				return timer.Second
+			}
+			return now
+		})
+		Expect(next).To(HaveLen(2)) // The killed one does not know that it is silent.
+		Expect(asked).To(Equal(1))
+	})
+
+	It("guards against a decision while no daemon reaches the store", func() {
+		chosen, _ := deciding(fleet(5, func(_ int, m *registrar.Member) { m.StoreUnreachable = true }), heard)
+		Expect(chosen).To(BeEmpty())
+	})
+
+	It("guards against questions to the whole fleet", func() {
+		table := registrar.New("vm-x")
+		for _, m := range fleet(200, func(int, *registrar.Member) {}) {
+			table.Learn(now, m)
+		}
+		_, unheard := table.Deciding(now, member("vm-x", 1000, 1))
+		Expect(len(unheard)).To(BeNumerically("<=", 8))
+	})
+})
--- a/internal/state/router/rollout.go
+++ b/internal/state/router/rollout.go
@@ -108,6 +108,32 @@
 	return next
 }
 
+// RolloutServices returns the services that have an order or a stored progress.
+func (s *Snapshot) RolloutServices() []identifier.ServiceName {
+	var services []identifier.ServiceName
+	for _, order := range s.Orders {
+		services = append(services, order.Service)
+	}
+	for _, progress := range s.Control.Rollouts {
+		if !slices.Contains(services, progress.Service) {
+			services = append(services, progress.Service)
+		}
+	}
+	return services
+}
+
+// Share returns the share of first attempts that goes to the target in percent.
+func (r Rollout) Share() float64 {
+	switch r.Phase {
+	case RolloutRunning:
+		return r.Percent
+	case RolloutDraining, RolloutCompleted:
+		return 100
+	case RolloutPending, RolloutRolledBack:
+	}
+	return 0
+}
+
 // Role returns the role of a version.
 func (r Rollout) Role(version identifier.ServiceVersion) VersionRole {
 	switch {
--- a/internal/state/router/router_test.go
+++ b/internal/state/router/router_test.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
 func TestRouter(t *testing.T) { tester.RunSpecs(t, "router") }
@@ -90,6 +91,47 @@
 	}
 })
 
+var _ = Describe("the progress of roll-outs in a holder", func() {
+	progress := func(target identifier.ServiceVersion, phase router.RolloutPhase, started int) router.RolloutProgress {
+		return router.RolloutProgress{Service: "s", Target: target, Phase: phase, StartedAt: timer.Millis(started)}
+	}
+	control := func(era identifier.Era, offset identifier.Offset, list ...router.RolloutProgress) router.Control {
+		return router.Control{Era: era, Offset: offset, Rollouts: list}
+	}
+	done := progress("v2", router.RolloutCompleted, 20)
+	cases := []struct {
+		name         string
+		before, next router.Control
+		target       identifier.ServiceVersion
+		phase        router.RolloutPhase
+		at           router.Position
+	}{
+		{"an earlier offset", control(1, 5, done), control(1, 4, progress("v2", router.RolloutRunning, 20)), "v2", router.RolloutCompleted, router.Position{Era: 1, Offset: 5}},
+		{"an earlier era", control(2, 1, done), control(1, 9, progress("v2", router.RolloutRunning, 20)), "v2", router.RolloutCompleted, router.Position{Era: 2, Offset: 1}},
+		{"a later offset", control(1, 5, done), control(1, 6, progress("v3", router.RolloutPending, 10)), "v3", router.RolloutPending, router.Position{Era: 1, Offset: 6}},
+		{"a later era without the record", control(1, 5, done), control(2, 0), "v2", router.RolloutCompleted, router.Position{Era: 2}},
+		{"a later era with an earlier phase", control(1, 5, done), control(2, 3, progress("v2", router.RolloutRunning, 20)), "v2", router.RolloutCompleted, router.Position{Era: 2, Offset: 3}},
+		{"a later era with the order before", control(1, 5, done), control(2, 3, progress("v1", router.RolloutCompleted, 10)), "v2", router.RolloutCompleted, router.Position{Era: 2, Offset: 3}},
+		{"a later era with a later order", control(1, 5, done), control(2, 3, progress("v3", router.RolloutRunning, 30)), "v3", router.RolloutRunning, router.Position{Era: 2, Offset: 3}},
+		{"a later era and an unfinished roll-out", control(1, 5, progress("v2", router.RolloutDraining, 20)), control(2, 3, progress("v2", router.RolloutRunning, 20)), "v2", router.RolloutRunning, router.Position{Era: 2, Offset: 3}},
+	}
+	for _, c := range cases {
+		for _, version := range []identifier.Version{0, 1, 2} {
+			It(fmt.Sprintf("guards against a finished roll-out that goes back: %s, with version %d", c.name, version), func() {
+				holder := router.NewHolder()
+				holder.Adopt((&router.Snapshot{Version: 1, Era: 1, Offset: 1, Control: c.before}).Index())
+				holder.Adopt((&router.Snapshot{Version: version, Era: 1, Offset: identifier.Offset(version), Control: c.next}).Index())
+				got := holder.Snapshot().Control
+				stored, found := got.Progress("s")
+				Expect(found).To(BeTrue())
+				Expect(stored.Target).To(Equal(c.target))
+				Expect(stored.Phase).To(Equal(c.phase))
+				Expect(got.Position()).To(Equal(c.at))
+			})
+		}
+	}
+})
+
 // Guards against shares that differ from the weights after any whole number of
 // rounds, with any start position.
 func TestSplitterShares(t *testing.T) {
