Carry out the operator's orders of roll-outs on the deciding daemon

Orders are records of the operator; invalid ones are findings and are not carried out. Progress is written on the condition that the topic still ends where it was read, so of two writers one reads again, and a write without an answer is resolved by reading. There is no timer, goroutine or call while there is no order.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/gossiper"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/comparer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
@@ -91,7 +92,11 @@
 	Dialect    dispatcher.Dialect
 	Source     Source
 	Directory  Directory
-	Logger     *slog.Logger
+	Control    ControlStore
+	// ExposureShare is the share of requests that a bad version in a roll-out may get; zero
+	// means the default.
+	ExposureShare float64
+	Logger        *slog.Logger
 }
 
 // Daemon runs beside one backend server.
@@ -106,6 +111,9 @@
 	ingress       *dispatcher.Ingress
 	gossiper      *gossiper.Gossiper
 	peers         *dispatcher.Peers
+	rollouts      *rollouts
+	// outcomes returns what admission has counted in a roll-out. It may be nil.
+	outcomes func(service registrar.ServiceKey, halt bool) (comparer.Report, bool)
 
 	callerServer         *exchanger.Server
 	peerServer           *exchanger.Server
@@ -144,13 +152,19 @@
 		Address: config.Addresses.Reports, Clock: clock,
 		Self:     d.self,
 		Position: d.position, Ahead: d.scheduleFetch, Loaded: func(m registrar.Member) { d.ingress.RecordLoad(m) },
-		FailureDomain: config.FailureDomain, Uses: func(service registrar.ServiceKey) bool { return d.ingress.Uses(service) },
+		FailureDomain: config.FailureDomain, Uses: d.uses,
 		Superseded:  d.supersede,
 		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
+		Outcomes: d.countedOutcomes, Counted: func(r comparer.Report) { d.rollouts.Counted(r) },
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	d.rollouts = newRollouts(rolloutsConfig{
+		Store: config.Control, Clock: clock, Snapshot: d.configuration.Snapshot, Adopt: d.adopt,
+		Deciding: d.gossiper.Deciding, Reachable: config.Source.Reachable, Ask: d.gossiper.AskOutcomes,
+		ExposureShare: config.ExposureShare, Logger: config.Logger,
+	})
 	config.Source.SetElected(d.gossiper.Elected)
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
 		Self: config.Node, Caller: config.Service, Incarnation: incarnation, FailureDomain: config.FailureDomain,
@@ -175,9 +189,21 @@
 	return m
 }
 
+// uses reports whether this daemon needs the reports of the members of a service.
+func (d *Daemon) uses(service registrar.ServiceKey) bool {
+	return d.ingress.Uses(service) || d.rollouts.Decides(service)
+}
+
+func (d *Daemon) countedOutcomes(service registrar.ServiceKey, halt bool) (comparer.Report, bool) {
+	if d.outcomes == nil {
+		return comparer.Report{}, false
+	}
+	return d.outcomes(service, halt)
+}
+
 func (d *Daemon) position() gossiper.Position {
 	snapshot := d.configuration.Snapshot()
-	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset, Era: snapshot.Era}
+	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset, Era: snapshot.Era, Control: snapshot.Control.Position()}
 }
 
 // adopt applies what is newer in a snapshot than in the current one.
@@ -191,9 +217,10 @@
 		d.restoreRegistration(current.Era)
 	}
 	d.config.Logger.Info("configuration in force", "version", current.Version, "era", current.Era, "offset", current.Offset,
-		"routes", len(current.Routes), "out", current.OutOfService)
+		"routes", len(current.Routes), "out", current.OutOfService, "orders", len(current.Orders), "control_era", current.Control.Era, "control_offset", current.Control.Offset)
 	d.ingress.RetainRoutes(current)
 	d.admission.ApplyConfiguration()
+	d.rollouts.SnapshotChanged()
 	d.gossiper.TriggerBroadcast()
 }
 
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -72,6 +72,7 @@
 	}()
 	go d.config.Source.Follow(workCtx, d.adopt)
 	go d.join(workCtx)
+	d.rollouts.Start(workCtx)
 	go d.tick(workCtx)
 	d.config.Logger.Info("daemon started", "incarnation", d.incarnation.Load(), "service", d.config.Service, "failure_domain", d.config.FailureDomain)
 	var err error
