--- a/internal/coordination/gossiper/outcomes_test.go
+++ b/internal/coordination/gossiper/outcomes_test.go
@@ -147,11 +147,14 @@
 // Guards against two daemons of a large fleet that both decide because the better ranked
 // one does not report to the other, and against a fleet in which none decides.
 func TestDeciding(t *testing.T) {
+	eventually(t, "a daemon alone decides", newDaemon(t, "alone", 3).Deciding)
 	a, b := newDaemon(t, "a", 1), newDaemon(t, "b", 2)
-	eventually(t, "a daemon alone decides", a.Deciding)
 	// As in a large fleet: each has read the other's entry, and hears nothing.
 	a.learn(b.own())
 	b.learn(a.own())
+	if a.Deciding() && b.Deciding() {
+		t.Error("both decide before the better ranked one could answer")
+	}
 	deciding := map[bool]int{}
 	eventually(t, "one of two decides", func() bool {
 		deciding = map[bool]int{}
