--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -112,8 +112,6 @@
 	gossiper      *gossiper.Gossiper
 	peers         *dispatcher.Peers
 	rollouts      *rollouts
-	// outcomes returns what admission has counted in a roll-out. It may be nil.
-	outcomes func(service registrar.ServiceKey, halt bool) (comparer.Report, bool)
 
 	callerServer         *exchanger.Server
 	peerServer           *exchanger.Server
@@ -194,11 +192,16 @@
 	return d.ingress.Uses(service) || d.rollouts.Decides(service)
 }
 
+// countedOutcomes returns what admission has counted in the roll-out of a service. Halt says
+// that the version of the own backend server must get no more attempts.
 func (d *Daemon) countedOutcomes(service registrar.ServiceKey, halt bool) (comparer.Report, bool) {
-	if d.outcomes == nil {
+	if service != registrar.KeyOf(d.config.Service) {
 		return comparer.Report{}, false
 	}
-	return d.outcomes(service, halt)
+	if halt {
+		d.admission.Halt()
+	}
+	return d.admission.Outcomes()
 }
 
 func (d *Daemon) position() gossiper.Position {
--- a/internal/transport/dispatcher/rollout.go
+++ b/internal/transport/dispatcher/rollout.go
@@ -56,11 +56,11 @@
 
 // Halt makes a backend server of the target version refuse attempts until the roll-out has
 // ended or another one begins.
-func (a *Admission) Halt(target identifier.ServiceVersion) {
+func (a *Admission) Halt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	rollout, found := a.config.Configuration.Snapshot().Rollout(a.config.Member.Service)
-	if !found || rollout.Target != target {
+	if !found || rollout.Role(a.backend.Version) != router.TargetVersion {
 		return
 	}
 	a.followRollout(rollout)
@@ -68,7 +68,7 @@
 		return
 	}
 	a.rollout.halted = true
-	a.config.Logger.Warn("roll-out halted", "service", a.config.Member.Service, "target", target, "version", a.backend.Version)
+	a.config.Logger.Warn("roll-out halted", "service", a.config.Member.Service, "target", rollout.Target)
 	a.config.OnChange()
 }
 
