--- a/internal/state/comparer/report.go
+++ b/internal/state/comparer/report.go
@@ -33,12 +33,13 @@
 	Service     identifier.ServiceName    `json:"service"`
 	Version     identifier.ServiceVersion `json:"version"`
 	// Target and Phase are those of the roll-out as the instance's daemon knows it.
-	Target    identifier.ServiceVersion `json:"target"`
-	Phase     router.RolloutPhase       `json:"phase"`
-	Halted    bool                      `json:"halted,omitempty"`
-	Accepting bool                      `json:"accepting,omitempty"`
-	Cold      bool                      `json:"cold,omitempty"`
-	Slots     identifier.Slots          `json:"slots"`
+	Target identifier.ServiceVersion `json:"target"`
+	Phase  router.RolloutPhase       `json:"phase"`
+	Halted bool                      `json:"halted,omitempty"`
+	// Accepting says that the instance takes attempts if the roll-out allows it.
+	Accepting bool             `json:"accepting,omitempty"`
+	Cold      bool             `json:"cold,omitempty"`
+	Slots     identifier.Slots `json:"slots"`
 	// Running counts the attempts that run, IdleForMs is the time since the last start.
 	Running   int32         `json:"running"`
 	IdleForMs timer.Millis  `json:"idle_for_ms"`
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -438,12 +438,18 @@
 	m.Backend, m.BackendStart = a.backend.ID, a.backend.Incarnation
 	m.Leaving = a.backend.State == admitter.Draining
 	m.Load = a.currentLoad()
-	status := a.admitter.Status()
-	m.Accepting = status.Closed == "" && !status.Paused && !a.down && !a.stopping
+	m.Accepting = a.accepting()
 	a.describeVersion(&m)
 	return m, m.Accepting
 }
 
+// accepting reports whether attempts are taken, apart from what a roll-out allows. The
+// caller holds the lock.
+func (a *Admission) accepting() bool {
+	status := a.admitter.Status()
+	return status.Closed == "" && !status.Paused && !a.down && !a.stopping
+}
+
 // SetIncarnation changes the incarnation of this daemon.
 func (a *Admission) SetIncarnation(incarnation identifier.Incarnation) {
 	a.mu.Lock()
--- a/internal/transport/dispatcher/rollout.go
+++ b/internal/transport/dispatcher/rollout.go
@@ -110,7 +110,7 @@
 	if !found {
 		return comparer.Report{}, false
 	}
-	member, accepting := a.Member()
+	member, _ := a.Member()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.followRollout(rollout)
@@ -118,7 +118,7 @@
 	return comparer.Report{
 		Node: member.Node, Incarnation: member.Incarnation, Sequence: a.rollout.sequence,
 		Service: member.Service, Version: a.backend.Version, Target: rollout.Target, Phase: rollout.Phase,
-		Halted: a.rollout.halted, Accepting: accepting, Cold: member.Load.Cold, Slots: member.Slots,
+		Halted: a.rollout.halted, Accepting: a.accepting(), Cold: member.Load.Cold, Slots: member.Slots,
 		Running: member.Load.Running + member.Load.Queued, IdleForMs: a.config.Clock.Now() - a.rollout.lastStart,
 		Routes: a.rollout.collector.Routes(),
 	}, true
