--- a/internal/state/comparer/cell.go
+++ b/internal/state/comparer/cell.go
@@ -30,6 +30,14 @@
 	// minPeakRuns is the number of runs from which the share of a window counts as a peak,
 	// and below which the old versions have too few runs to be compared with.
 	minPeakRuns = 20
+	// trafficWindow covers at least one report of each instance. If the target had more than
+	// maxTrafficRatio times the runs of the old versions in it, there is nothing to compare.
+	trafficWindow   = 600 * timer.Millis(1)
+	maxTrafficRatio = 4
+	// uncomparedShare is the lowest share of bad runs that is assumed without comparison. A
+	// called service that fails for a second would otherwise look like a bad version while
+	// the old instances drain: 30 % of the runs failed in such tests.
+	uncomparedShare = 0.25
 	// excludedDivisor is the part of the instances of the target that is excluded.
 	excludedDivisor = 4
 )
@@ -40,6 +48,9 @@
 var (
 	badRatio  = math.Log(1e5)
 	goodRatio = math.Log(0.01)
+	// faultyRatio is the log likelihood ratio from which an instance counts as worse than
+	// the others of its version.
+	faultyRatio = math.Log(3)
 )
 
 // route is what is known of a route since the order.
@@ -60,6 +71,8 @@
 	usual float64
 	// peak replaces usual while the old versions have few runs.
 	peak float64
+	// least is the lowest share that is assumed.
+	least float64
 }
 
 func (c *Counts) add(other Counts) {
@@ -117,6 +130,13 @@
 	return min(max(minSlowBucket, int(bucket)), timeBuckets)
 }
 
+// noteTraffic notes whether the old versions get requests.
+func (c *Comparer) noteTraffic(until timer.Millis, routes []route) {
+	cells := c.cells(until, trafficWindow, routes)
+	all := cells[len(cells)-1]
+	c.uncompared = all.target().Runs > maxTrafficRatio*all.baseline.Runs
+}
+
 // cells returns the runs in a window, by route and for all routes together.
 func (c *Comparer) cells(until timer.Millis, window Window, routes []route) []cell {
 	return c.between(routes, func(i *instance) (from, to totals) {
@@ -138,6 +158,9 @@
 	cells := make([]cell, len(routes))
 	for n, r := range routes {
 		cells[n] = cell{route: r.name, usual: r.share, peak: max(r.share, c.peaks[r.name])}
+		if c.uncompared {
+			cells[n].least = max(uncomparedShare, cells[n].peak)
+		}
 	}
 	all := &cells[len(cells)-1]
 	for _, i := range c.instances {
@@ -189,26 +212,43 @@
 	target Counts
 }
 
-// test returns the log likelihood ratio of a bad version to a good one. A quarter of the
-// instances that report is excluded, those with the most evidence against the version: a
-// faulty instance does not make a bad version.
-func (c *cell) test(reporting int) result {
+// odds are the log likelihood ratios of a bad version to a good one for a bad run and for
+// a good run.
+type odds struct{ bad, good float64 }
+
+// newOdds returns those for a share of bad runs of the good version.
+func newOdds(share float64) odds {
+	share = min(share+noiseMargin, maxBadShare)
+	return odds{bad: math.Log((share + badMargin) / share), good: math.Log((1 - share - badMargin) / (1 - share))}
+}
+
+func (o odds) ratio(c Counts) float64 { return float64(c.Bad)*o.bad + float64(c.Runs-c.Bad)*o.good }
+
+// test compares the target with the old versions.
+func (c *cell) test() result {
 	expected := c.usual
 	if c.baseline.Runs < minPeakRuns {
 		expected = c.peak
 	}
-	good := min(max(minBadShare, c.baseline.share(expected))+noiseMargin, maxBadShare)
-	bad := good + badMargin
-	forBad, forGood := math.Log(bad/good), math.Log((1-bad)/(1-good))
-	ratio := func(counts Counts) float64 {
-		return float64(counts.Bad)*forBad + float64(counts.Runs-counts.Bad)*forGood
-	}
-	slices.SortFunc(c.targets, func(a, b Counts) int { return cmp.Compare(ratio(b), ratio(a)) })
-	sum := Counts{}
-	for n, counts := range c.targets {
-		if n >= reporting/excludedDivisor || ratio(counts) <= 0 {
-			sum.add(counts)
+	share := max(minBadShare, c.least, c.baseline.share(expected))
+	target := c.withoutFaulty(share)
+	return result{ratio: newOdds(share).ratio(target), target: target}
+}
+
+// withoutFaulty returns the runs of the target without up to a quarter of its instances:
+// those with the most evidence against them, if they are worse than the others. A faulty
+// instance does not make a bad version. Instances that are not worse than the others
+// remain, since few runs of a bad version would look good without the worst of them.
+func (c *cell) withoutFaulty(share float64) Counts {
+	all := newOdds(share)
+	slices.SortFunc(c.targets, func(a, b Counts) int { return cmp.Compare(all.ratio(b), all.ratio(a)) })
+	rest := c.target()
+	for _, counts := range c.targets[:len(c.targets)/excludedDivisor] {
+		others := Counts{Runs: rest.Runs - counts.Runs, Bad: rest.Bad - counts.Bad}
+		if newOdds(max(share, others.share(share))).ratio(counts) < faultyRatio {
+			break
 		}
+		rest = others
 	}
-	return result{ratio: ratio(sum), target: sum}
+	return rest
 }
--- a/internal/state/comparer/check.go
+++ b/internal/state/comparer/check.go
@@ -49,6 +49,9 @@
 		if err := r.Routes[i].check(); err != nil {
 			return Error.New("report of %s: %v", r.Node, err)
 		}
+		if slices.ContainsFunc(r.Routes[:i], func(c RouteCounts) bool { return c.Route == r.Routes[i].Route }) {
+			return Error.New("route %q twice in a report of %s", r.Routes[i].Route, r.Node)
+		}
 	}
 	return nil
 }
--- a/internal/state/comparer/comparer.go
+++ b/internal/state/comparer/comparer.go
@@ -82,6 +82,8 @@
 	// peaks is the highest share of bad runs of the old versions by route, in any window of
 	// 2 s with enough runs.
 	peaks map[string]float64
+	// uncompared says that the old versions get too few requests to be compared with.
+	uncompared bool
 }
 
 // New returns a Comparer without reports.
@@ -130,6 +132,7 @@
 func (c *Comparer) Verdict(now timer.Millis) Verdict {
 	until := c.comparedUntil(now)
 	routes := c.routes()
+	c.noteTraffic(until, routes)
 	verdict := Verdict{}
 	first := true
 	for _, window := range windows {
@@ -139,7 +142,7 @@
 			if cell.target().Runs == 0 {
 				continue
 			}
-			result := cell.test(c.reporting(now))
+			result := cell.test()
 			if first || result.ratio > verdict.Ratio {
 				verdict.Ratio, verdict.Route, verdict.Window = result.ratio, cell.route, window
 				verdict.Target, verdict.Baseline, first = result.target, cell.baseline, false
@@ -148,7 +151,7 @@
 	}
 	verdict.Bad = verdict.Ratio >= badRatio
 	step := c.stepCell(until, routes)
-	result := step.test(c.reporting(now))
+	result := step.test()
 	verdict.StepRatio, verdict.StepRuns = result.ratio, result.target.Runs
 	verdict.Good = !verdict.Bad && result.ratio <= goodRatio
 	return verdict
@@ -169,14 +172,3 @@
 	slices.Sort(times)
 	return min(now, times[len(times)/2]+reportSpread)
 }
-
-// reporting returns the number of instances of the target that report.
-func (c *Comparer) reporting(now timer.Millis) int {
-	count := 0
-	for _, i := range c.instances {
-		if i.version == c.config.Target && now-i.lastAt() <= FreshFor {
-			count++
-		}
-	}
-	return count
-}
