--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -134,11 +134,11 @@
 	}
 	var key credential
 	refusal, answered := i.serveBy(x, snapshot, &key, end)
-	if answered || refusal.Reason != classifier.SenderBehind {
+	if answered || refusal.Reason != classifier.SenderBehind && refusal.Reason != classifier.VersionNotInService {
 		return refusal, answered
 	}
 	// Another daemon has a newer configuration, which routes the request to another
-	// service; nothing has run yet.
+	// service or version; nothing has run yet.
 	return i.serveBy(x, i.awaitNewerConfiguration(snapshot), &key, end)
 }
 
@@ -164,7 +164,7 @@
 	if !route.Idempotent && !x.AwaitTurn() {
 		return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Deadline}, false
 	}
-	if current := i.config.Configuration.Snapshot(); current.Version > snapshot.Version {
+	if current := i.config.Configuration.Snapshot(); snapshot.HasAccounts() && current.Version > snapshot.Version {
 		return i.serveBy(x, current, key, end) // The key may have been withdrawn meanwhile.
 	}
 	if refusal, admitted := i.admitAccount(account); !admitted {
@@ -185,13 +185,13 @@
 	newerConfigurationPoll    = 5 * timer.Millis(1)
 )
 
-// awaitNewerConfiguration waits up to newerConfigurationTimeout for a
-// configuration newer than a snapshot.
+// awaitNewerConfiguration waits up to newerConfigurationTimeout for a snapshot with a newer
+// configuration or a later state of a roll-out.
 func (i *Ingress) awaitNewerConfiguration(current *router.Snapshot) *router.Snapshot {
 	end := i.config.Clock.Now() + newerConfigurationTimeout
 	for {
 		snapshot := i.config.Configuration.Snapshot()
-		if snapshot.Version > current.Version || i.config.Clock.Now() >= end {
+		if snapshot.Version > current.Version || current.Control.Position().Before(snapshot.Control.Position()) || i.config.Clock.Now() >= end {
 			return snapshot
 		}
 		time.Sleep(newerConfigurationPoll.Duration())
@@ -254,9 +254,14 @@
 		}
 		i.mu.Unlock()
 	}
-	basis := fleetBasis{members: i.config.Members.Version(), position: i.config.Configuration.Snapshot().Position()}
+	snapshot := i.config.Configuration.Snapshot()
+	basis := fleetBasis{members: i.config.Members.Version(), position: snapshot.Position(), control: snapshot.Control.Position()}
 	if f.refreshDue(now, basis) {
-		f.setMembers(now, basis, i.candidates(service))
+		var rollout *router.Rollout
+		if r, found := snapshot.Rollout(service); found {
+			rollout = &r
+		}
+		f.setMembers(now, basis, i.candidates(service), rollout)
 	}
 	return f
 }
