Carry the account and nested calls in the urgency of attempts

Admission needs both to order its queue. They are optional last parts of Magnoliaknot-Urgency and left out when zero, so deployments without accounts send the same bytes. The queue does not use them yet.

--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -47,6 +47,12 @@
 	// sender assumed when it chose the instance. Admission returns the attempt if
 	// work takes much longer. Zero means that the sender accepts any slowdown.
 	Slowdown int32
+	// Nested means that the attempt is a call of running work. Earlier daemons refuse
+	// an urgency with Nested or Account, so senders set both only where the
+	// configuration holds accounts.
+	Nested bool
+	// Account identifies the client account; 0 means none.
+	Account uint32
 }
 
 // maxPriority bounds the priority of attempts.
@@ -54,7 +60,7 @@
 
 // String encodes the urgency as a header value.
 func (u Urgency) String() string {
-	buf := strconv.AppendInt(make([]byte, 0, 24), int64(u.Priority), 10)
+	buf := strconv.AppendInt(make([]byte, 0, 40), int64(u.Priority), 10)
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, int64(u.MaxWait), 10)
 	buf = append(buf, ' ')
@@ -64,14 +70,21 @@
 	if u.Idempotent {
 		buf = append(buf, " i"...)
 	}
+	if u.Nested {
+		buf = append(buf, " n"...)
+	}
+	if u.Account != 0 {
+		buf = append(buf, " a"...)
+		buf = strconv.AppendUint(buf, uint64(u.Account), 10)
+	}
 	return string(buf)
 }
 
 // ParseUrgency parses and validates an urgency encoded by String.
 func ParseUrgency(text string) (Urgency, error) {
 	parts := strings.Fields(text)
-	if len(parts) < 4 || len(parts) > 5 || len(parts) == 5 && parts[4] != "i" {
-		return Urgency{}, Error.New("%s %q does not have four or five parts", HeaderUrgency, text)
+	if len(parts) < 4 {
+		return Urgency{}, Error.New("%s %q has less than four parts", HeaderUrgency, text)
 	}
 	priority, err := strconv.Atoi(parts[0])
 	if err != nil || priority < 0 || priority > maxPriority {
@@ -89,10 +102,31 @@
 	if err != nil || target < 0 || timer.Millis(target) > timer.Day {
 		return Urgency{}, Error.New("%s %q: target is not a time in ms between 0 and one day", HeaderUrgency, text)
 	}
-	return Urgency{
-		Priority: priority, MaxWait: timer.Millis(wait), Slowdown: int32(slowdown),
-		TargetRemaining: timer.Millis(target), Idempotent: len(parts) == 5,
-	}, nil
+	u := Urgency{
+		Priority: priority, MaxWait: timer.Millis(wait), Slowdown: int32(slowdown), TargetRemaining: timer.Millis(target),
+	}
+	if !u.parseOptional(parts[4:]) {
+		return Urgency{}, Error.New("%s %q: the parts after the fourth are not i, n and a with an account, in this order", HeaderUrgency, text)
+	}
+	return u, nil
+}
+
+// parseOptional parses the parts that String leaves out when they are zero. Each may
+// occur once and in the order of String.
+func (u *Urgency) parseOptional(parts []string) bool {
+	if len(parts) > 0 && parts[0] == "i" {
+		u.Idempotent, parts = true, parts[1:]
+	}
+	if len(parts) > 0 && parts[0] == "n" {
+		u.Nested, parts = true, parts[1:]
+	}
+	if len(parts) == 0 {
+		return true
+	}
+	digits, found := strings.CutPrefix(parts[0], "a")
+	account, err := strconv.ParseUint(digits, 10, 32)
+	u.Account = uint32(account)
+	return len(parts) == 1 && found && err == nil && account > 0
 }
 
 // Encode sets the headers of an attempt on a request.
--- a/internal/state/admitter/event.go
+++ b/internal/state/admitter/event.go
@@ -23,6 +23,12 @@
 	Priority int
 	// MaxWait bounds the time in the queue. Zero means until the deadline.
 	MaxWait timer.Millis
+	// Account identifies the client account; 0 means none. Attempts of one priority
+	// are started in equal parts for the accounts that wait.
+	Account uint32
+	// Nested means that the attempt is a call of running work. It goes before new work
+	// of the same priority.
+	Nested bool
 }
 
 // Rate is a number of starts per second.
