Queue attempts by rank, running work and account

With the queue by arrival, an account that sends several times its usual rate fills the queue of an instance and the others are refused. Within a rank, calls of running work now go first, then accounts by start-time fair queueing; a full queue refuses the last attempt of the account with the most waiting.

--- a/internal/state/admitter/admitter.go
+++ b/internal/state/admitter/admitter.go
@@ -3,8 +3,11 @@
 //
 // The limit is the lowest of the sheet's limit, the announced slots, the cold
 // limit and the share allowed to a failure domain that has returned to service.
-// Attempts above the limit are queued by priority, those of one priority in
-// arrival order. The queue is bounded by length and by deadline.
+// Attempts above the limit are queued by priority. Among those of one priority, calls
+// of running work go first, then the accounts that wait share the starts equally;
+// attempts without an account are in arrival order. The queue is bounded by length and
+// by deadline. If it is full, the last attempt of the account with the most queued
+// attempts of the lowest priority is refused.
 //
 // # Usage
 //
@@ -68,12 +71,14 @@
 	startRate   startRate
 	allowance   allowance
 	queue       queue
+	returns     returnTimes
 	running     map[identifier.AttemptID]run
 	soloRuns    bool
 }
 
 // run is a started attempt.
 type run struct {
+	flow           *flow
 	fingerprint    identifier.Fingerprint
 	hasFingerprint bool
 	solo           bool
@@ -122,6 +127,8 @@
 		a.startRate.set(a.now, e)
 	case RateLimit:
 		a.allowance.set(a.now, e)
+	case Tick:
+		a.returns.forget(a.now)
 	case Drain:
 		if !a.stopping {
 			a.stopping, a.drained = true, false
@@ -172,8 +179,9 @@
 	if e.MaxWait > 0 {
 		startBy = min(startBy, a.now+e.MaxWait)
 	}
-	a.queue.push(entry{
-		attempt: e.Attempt, deadline: a.now + remaining, startBy: startBy, priority: e.Priority,
+	key := flowKey{class: classKey{priority: e.Priority, nested: e.Nested}, account: e.Account}
+	a.queue.push(key, entry{
+		attempt: e.Attempt, deadline: a.now + remaining, startBy: startBy, arrivedAt: a.now,
 		fingerprint: e.Fingerprint, hasFingerprint: e.HasFingerprint, solo: e.Solo,
 	})
 	actions = a.start(actions)
@@ -181,11 +189,13 @@
 	if position < 0 {
 		return actions
 	}
-	if position >= a.limits.MaxQueue || a.predictedWait(position+1) >= startBy-a.now {
+	// No later attempt of another account can make room for this one, since it waits
+	// only for those that go before it.
+	if a.predictedWait(position+1) >= startBy-a.now {
 		return a.refuse(position, a.overloadReason(), actions)
 	}
-	if last := a.queue.len() - 1; last >= a.limits.MaxQueue {
-		return a.refuse(last, a.overloadReason(), actions)
+	if a.queue.len() > a.limits.MaxQueue || position < a.queue.len()-1 && a.lastTooLate() {
+		return a.refuseLast(actions)
 	}
 	return actions
 }
@@ -201,6 +211,7 @@
 		actions = append(actions, a.recordCrash(r))
 	}
 	delete(a.running, e.Attempt)
+	a.queue.order.ended(r.flow)
 	if r.solo {
 		a.soloRuns = false
 	}
@@ -230,7 +241,7 @@
 		a.ramp.limit = max(1, e.ColdLimit)
 	}
 	for a.queue.len() > max(0, e.MaxQueue) {
-		actions = a.refuse(a.queue.len()-1, a.overloadReason(), actions)
+		actions = a.refuseLast(actions)
 	}
 	return actions
 }
--- a/internal/state/admitter/gate.go
+++ b/internal/state/admitter/gate.go
@@ -81,10 +81,11 @@
 }
 
 func (a *Admitter) startEntry(i int, actions []Action) []Action {
-	e := a.queue.remove(i)
+	e := a.queue.takeForStart(i)
 	a.startRate.started(a.now)
 	a.allowance.started(a.now)
 	a.running[e.attempt] = run{
+		flow:        e.flow,
 		fingerprint: e.fingerprint, hasFingerprint: e.hasFingerprint, solo: e.solo,
 		announcedSinceCrash: a.backend.announcedSinceCrash, epoch: a.ramp.epoch, incarnation: a.backend.incarnation,
 	}
@@ -117,8 +118,37 @@
 
 // refuse removes an attempt from the queue and refuses it.
 func (a *Admitter) refuse(i int, reason classifier.Reason, actions []Action) []Action {
-	attempt := a.queue.remove(i).attempt
-	return append(actions, Refuse{Attempt: attempt, Reason: reason, RetryAfter: a.retryAfter(reason)})
+	f := a.queue.entries[i].flow
+	key, othersWait := f.key, f.waiting > 1
+	e := a.queue.remove(i)
+	retryAfter := a.retryAfter(reason)
+	if key.hasAccounts() && a.backend.state == Ready && waitsForSlot(reason) {
+		position := i + 1
+		if othersWait {
+			position = a.queue.len() + 1
+		}
+		wait := max(retryMinimum, a.predictedWait(position))
+		retryAfter = a.returns.next(a.now, key, wait, a.now-e.arrivedAt, a.startInterval())
+	}
+	return append(actions, Refuse{Attempt: e.attempt, Reason: reason, RetryAfter: retryAfter})
+}
+
+// waitsForSlot reports whether an attempt refused for this reason may start as soon as
+// a slot is free.
+func waitsForSlot(reason classifier.Reason) bool {
+	return reason == classifier.Overloaded || reason == classifier.Deadline || reason == classifier.Cold
+}
+
+// refuseLast refuses the attempt that is to be refused first, for lack of room.
+func (a *Admitter) refuseLast(actions []Action) []Action {
+	return a.refuse(a.queue.last(), a.overloadReason(), actions)
+}
+
+// lastTooLate reports whether the attempt at the end of the queue cannot start in time
+// while several accounts of its class have attempts.
+func (a *Admitter) lastTooLate() bool {
+	e := a.queue.entries[a.queue.len()-1]
+	return e.flow.class.flows > 1 && a.predictedWait(a.queue.len()) >= e.startBy-a.now
 }
 
 // overloadReason returns the reason for a full queue or a long wait.
@@ -144,21 +174,30 @@
 )
 
 func (a *Admitter) retryAfter(reason classifier.Reason) timer.Millis {
-	switch reason {
-	case classifier.Overloaded, classifier.Deadline, classifier.Cold:
+	switch {
+	case waitsForSlot(reason):
 		if a.backend.state == Ready {
 			return max(retryMinimum, a.predictedWait(a.queue.len()+1))
 		}
 		return retryElsewhere
-	case classifier.RateLimited:
+	case reason == classifier.RateLimited:
 		return max(retryMinimum, a.allowance.nextReturn(a.now, a.queue.len()+1))
-	case classifier.ConfigBehind:
+	case reason == classifier.ConfigBehind:
 		return retryConfig
 	default:
 		return retryElsewhere
 	}
 }
 
+// startInterval estimates the time between two starts.
+func (a *Admitter) startInterval() timer.Millis {
+	interval := max(1, timer.Millis(a.ramp.mean)/timer.Millis(max(1, a.limit()-a.predecessorRunning())))
+	if a.startRate.perSecond > 0 {
+		interval = max(interval, timer.Second/timer.Millis(a.startRate.perSecond))
+	}
+	return interval
+}
+
 // predictedWait estimates how long the attempt at a position in the queue, counted
 // from 1, waits for its start.
 func (a *Admitter) predictedWait(position int) timer.Millis {
--- a/internal/state/admitter/load.go
+++ b/internal/state/admitter/load.go
@@ -47,6 +47,9 @@
 	Predecessor int
 	// SoloQueued counts queued attempts that must run alone.
 	SoloQueued int
+	// Accounts counts the accounts in each priority for which the queue holds state;
+	// attempts without an account count as one.
+	Accounts int
 }
 
 // Status returns the state after the last event.
@@ -61,5 +64,6 @@
 		Paused:      a.paused,
 		Predecessor: a.predecessorRunning(),
 		SoloQueued:  a.queue.soloCount,
+		Accounts:    len(a.queue.order.flows),
 	}
 }
--- a/internal/state/admitter/queue.go
+++ b/internal/state/admitter/queue.go
@@ -14,15 +14,19 @@
 	// startBy is the time after which the attempt is refused if it has not started;
 	// it is not after the deadline.
 	startBy        timer.Millis
-	priority       int
+	arrivedAt      timer.Millis
+	flow           *flow
+	startTag       tag
 	fingerprint    identifier.Fingerprint
 	hasFingerprint bool
 	solo           bool
 }
 
-// queue holds attempts ordered by priority, those of one priority by arrival.
+// queue holds attempts ordered by class, those of one class by start tag, those of one
+// start tag by arrival.
 type queue struct {
 	entries   []entry
+	order     fairOrder
 	soloCount int
 	// earliestStartBy is a lower bound of all startBy times, so that the queue is
 	// searched for expired entries only when there may be one.
@@ -31,27 +35,73 @@
 
 func (q *queue) len() int { return len(q.entries) }
 
-func (q *queue) push(e entry) {
+func (q *queue) push(key flowKey, e entry) {
 	if len(q.entries) == 0 || e.startBy < q.earliestStartBy {
 		q.earliestStartBy = e.startBy
 	}
 	if e.solo {
 		q.soloCount++
 	}
+	e.flow, e.startTag = q.order.arrived(key)
 	position := len(q.entries)
-	for position > 0 && q.entries[position-1].priority > e.priority {
+	for position > 0 && e.goesBefore(&q.entries[position-1]) {
 		position--
 	}
 	q.entries = slices.Insert(q.entries, position, e)
 }
 
-func (q *queue) remove(i int) entry {
+func (e *entry) goesBefore(other *entry) bool {
+	if e.flow.class != other.flow.class {
+		return e.flow.key.class.before(other.flow.key.class)
+	}
+	return e.startTag < other.startTag
+}
+
+// takeForStart removes an entry that starts.
+func (q *queue) takeForStart(i int) entry {
 	e := q.entries[i]
-	if e.solo {
+	q.order.started(e.flow, e.startTag)
+	q.delete(i, e.solo)
+	return e
+}
+
+// remove removes an entry that does not start. The later entries of its flow move up to
+// the place and the start tag of the one before them.
+func (q *queue) remove(i int) entry {
+	removed := q.entries[i]
+	vacant, start := i, removed.startTag
+	for later := i + 1; later < len(q.entries) && removed.flow.class == q.entries[later].flow.class; later++ {
+		if e := q.entries[later]; e.flow == removed.flow {
+			e.startTag, start = start, e.startTag
+			q.entries[vacant], vacant = e, later
+		}
+	}
+	q.delete(vacant, removed.solo)
+	q.order.refused(removed.flow, start)
+	return removed
+}
+
+// last returns the index of the entry to refuse first: the last one of the flow with
+// the most entries in the class that goes last.
+func (q *queue) last() int {
+	victim, most := -1, 0
+	for i := len(q.entries) - 1; i >= 0; i-- {
+		f := q.entries[i].flow
+		if f.class != q.entries[len(q.entries)-1].flow.class {
+			break
+		}
+		if f.waiting > most {
+			victim, most = i, f.waiting
+		}
+	}
+	return victim
+}
+
+func (q *queue) delete(i int, solo bool) {
+	if solo {
 		q.soloCount--
 	}
 	q.entries = slices.Delete(q.entries, i, i+1)
-	return e
 }
 
 func (q *queue) find(attempt identifier.AttemptID) int {
