Simulate client accounts, one of them with a burst

The load "accounts" has 20 accounts of which one sends 7.5 times its usual for 6.5 s, at 1.3 times the capacity. magnoliaknot simulate prints what each account gets with the queue by arrival and with the fair queue.

--- a/internal/commander/simulate.go
+++ b/internal/commander/simulate.go
@@ -31,11 +31,19 @@
 					}
 					fmt.Fprintln(cmd.OutOrStdout(), report)
 				}
+				if load.Accounts.Count == 0 {
+					continue
+				}
+				table, err := simulator.CompareQueues(load)
+				if err != nil {
+					return err
+				}
+				fmt.Fprint(cmd.OutOrStdout(), table)
 			}
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&name, "load", "", "run only the load of this name: busy, overload, noisy or restart")
+	cmd.Flags().StringVar(&name, "load", "", "run only the load of this name: busy, overload, noisy, restart or accounts")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of arrivals, work and noise")
 	cmd.Flags().IntVar(&seconds, "seconds", 30, "duration of each load")
 	return cmd
--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -131,7 +131,11 @@
 		wait = estimator.MaxWaitForTarget(wait, a.remainingToTarget(), expected)
 	}
 	in.attempts[a.id] = a
-	in.step(admitter.Arrive{Attempt: a.id, Remaining: a.remaining(), MaxWait: wait})
+	arrive := admitter.Arrive{Attempt: a.id, Remaining: a.remaining(), MaxWait: wait}
+	if in.simulation.policies.FairQueue {
+		arrive.Account = a.request.caller.account
+	}
+	in.step(arrive)
 }
 
 func (in *instance) step(event admitter.Event) {
--- a/internal/simulator/load.go
+++ b/internal/simulator/load.go
@@ -34,6 +34,7 @@
 	ColdPerSecond, ColdFactor float64
 	// Restarts are the times at which all instances restart.
 	Restarts []timer.Millis
+	Accounts Accounts
 	// Delay is the one-way network delay between two daemons.
 	Delay    timer.Millis
 	Duration timer.Millis
@@ -67,12 +68,15 @@
 	if l.SlowShare < 0 || l.SlowShare >= 1 {
 		findings.Add("slow_share", l.SlowShare, "is not between 0 and 1")
 	}
+	if a := l.Accounts; a.Count < 0 || a.Count > 0 && a.Factor < 0 {
+		findings.Add("accounts", a.Count, "is negative or has a negative factor")
+	}
 	return Error.Wrap(findings.Err())
 }
 
 // StandardLoads returns the loads of the heaviest days of the deployments: services
-// near their capacity, above it, on VMs that others slow down, and after a restart of
-// all instances.
+// near their capacity, above it, on VMs that others slow down, after a restart of all
+// instances, and with an account that sends several times its usual rate.
 func StandardLoads() []Load {
 	busy := Load{
 		Name: "busy", Instances: 12, Slots: 5, Senders: 24, PerSecond: 400, Work: 95, Spread: 0.3,
@@ -87,5 +91,10 @@
 	noisy.Name, noisy.SlowShare, noisy.PerSecond = "noisy", 0.33, 200
 	restart := busy
 	restart.Name, restart.Restarts = "restart", []timer.Millis{10 * timer.Second}
-	return []Load{busy, overload, noisy, restart}
+	// Without a knee, the capacity is 631 a second: 60 slots, 95 ms each. In the burst, the
+	// accounts send 1.3 times that, the first one 0.37 and each of the others 0.05.
+	accounts := busy
+	accounts.Name, accounts.SlowShare, accounts.KneeFactor, accounts.PerSecond = "accounts", 0, 1, 620
+	accounts.Accounts = Accounts{Count: 20, Factor: 7.5, From: 5 * timer.Second, To: 11500}
+	return []Load{busy, overload, noisy, restart, accounts}
 }
--- a/internal/simulator/policies.go
+++ b/internal/simulator/policies.go
@@ -21,6 +21,8 @@
 	BoundWait bool
 	// RefuseTooSlow refuses attempts that cannot end before the deadline.
 	RefuseTooSlow bool
+	// FairQueue passes the accounts to the queues of the instances.
+	FairQueue bool
 	// FreeRefusals is the number of refused attempts of a request that do not count
 	// as attempts.
 	FreeRefusals int
@@ -33,7 +35,7 @@
 		NewSelector: func(r *rand.Rand) selector.Policy {
 			return selector.NewFilter(selector.NewLeastExpectedTime("", r))
 		},
-		LoadCheck: true, LimitAtKnee: true, BoundWait: true, RefuseTooSlow: true, FreeRefusals: 2,
+		LoadCheck: true, LimitAtKnee: true, BoundWait: true, RefuseTooSlow: true, FairQueue: true, FreeRefusals: 2,
 	}
 }
 
@@ -57,6 +59,7 @@
 		without("no limit at the knee", func(p *Policies) { p.LimitAtKnee = false }),
 		without("wait until the deadline", func(p *Policies) { p.BoundWait = false }),
 		without("no refusal as too slow", func(p *Policies) { p.RefuseTooSlow = false }),
+		ByArrivalPolicies(),
 		without("no free refusals", func(p *Policies) { p.FreeRefusals = 0 }),
 		without("four free refusals", func(p *Policies) { p.FreeRefusals = 4 }),
 	}
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -21,6 +21,9 @@
 	// seconds.
 	WorstShare float64
 
+	// Accounts holds the results of each account of the load.
+	Accounts []AccountReport
+
 	seconds []second
 }
 
@@ -31,7 +34,10 @@
 const worstSecondsDivisor = 10
 
 func newReport(load Load, policies Policies) Report {
-	return Report{Load: load.Name, Policies: policies.Name, seconds: make([]second, load.Duration/timer.Second+1)}
+	return Report{
+		Load: load.Name, Policies: policies.Name, Accounts: make([]AccountReport, load.Accounts.Count),
+		seconds: make([]second, load.Duration/timer.Second+1),
+	}
 }
 
 func (r *Report) countOffered(at timer.Millis) {
--- a/internal/simulator/sender.go
+++ b/internal/simulator/sender.go
@@ -106,7 +106,11 @@
 	sim.openRequests--
 	switch {
 	case f.Outcome == retrier.OutcomeComplete:
-		sim.report.countServed(c.arrived, sim.now-r.arrived <= sim.load.Target)
+		inTarget := sim.now-r.arrived <= sim.load.Target
+		sim.report.countServed(c.arrived, inTarget)
+		if inTarget && sim.load.Accounts.burst(c.arrived) {
+			sim.report.Accounts[c.account-1].InTarget++
+		}
 	case f.Outcome == retrier.OutcomeNotRun:
 		sim.report.Refused++
 	default:
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -136,13 +136,20 @@
 	if sim.now >= sim.load.Duration {
 		return
 	}
-	gap := sim.arrivalRand.ExpFloat64() * float64(timer.Second) / sim.load.PerSecond
+	gap := sim.arrivalRand.ExpFloat64() * float64(timer.Second) / (sim.load.PerSecond * sim.load.Accounts.rate(sim.now))
 	work := timer.Millis(float64(sim.load.Work) * (1 - sim.load.Spread + sim.load.Spread*sim.arrivalRand.ExpFloat64()))
 	sender := sim.arrivalRand.IntN(len(sim.senders))
 	if sim.now > 0 {
 		sim.report.countOffered(sim.now)
 		sim.openRequests++
-		sim.senders[sender].beginRequest(&caller{arrived: sim.now, work: max(1, work), retriesLeft: sim.load.CallerRetries})
+		c := &caller{arrived: sim.now, work: max(1, work), retriesLeft: sim.load.CallerRetries}
+		if sim.load.Accounts.Count > 0 {
+			c.account = sim.load.Accounts.pick(sim.now, sim.arrivalRand.Float64())
+		}
+		if sim.load.Accounts.burst(sim.now) {
+			sim.report.Accounts[c.account-1].Offered++
+		}
+		sim.senders[sender].beginRequest(c)
 	}
 	sim.scheduleAfter(max(1, timer.Millis(gap)), sim.generateArrival)
 }
@@ -153,5 +160,6 @@
 	// counted for that second.
 	arrived     timer.Millis
 	work        timer.Millis
+	account     uint32
 	retriesLeft int
 }
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -106,6 +106,30 @@
 	}
 }
 
+// Guards against an account that sends 7.5 times its usual rate at 1.3 times the capacity
+// and takes from accounts that send less than their part. The load has its full size: at
+// a third of it, random arrivals vary more, and the others get 0.916 in the target.
+func TestBurstOfOneAccount(t *testing.T) {
+	loads := simulator.StandardLoads()
+	load := loads[len(loads)-1]
+	load.Duration = 13 * timer.Second
+	byArrival, fair := run(t, load, simulator.ByArrivalPolicies()), run(t, load, simulator.CurrentPolicies())
+	sums := [2]simulator.AccountReport{}
+	worst := [2]float64{1, 1}
+	for queue, report := range []simulator.Report{byArrival, fair} {
+		for _, a := range report.Accounts[1:] {
+			sums[queue].Offered += a.Offered
+			sums[queue].InTarget += a.InTarget
+			worst[queue] = min(worst[queue], a.ServedShare())
+		}
+		t.Logf("%s: account in the burst %.3f, others %.3f, worst of them %.3f", report.Policies,
+			report.Accounts[0].ServedShare(), sums[queue].ServedShare(), worst[queue])
+	}
+	if sums[1].ServedShare() < 0.95 || worst[1] < 0.85 || worst[1] <= worst[0] {
+		t.Error("accounts below their part lost requests")
+	}
+}
+
 // Guards against more starts on a cold instance than it can serve, after a restart of
 // all instances: at most 1.5 times its rate and 8 more in any second.
 func TestColdRate(t *testing.T) {
