--- a/internal/transport/dispatcher/account.go
+++ b/internal/transport/dispatcher/account.go
@@ -75,6 +75,14 @@
 	i.config.Quotas.Refund(account.Name)
 }
 
+// accountHash returns the hash by which daemons name an account to each other; 0 means none.
+func accountHash(account *router.Account) uint32 {
+	if account == nil {
+		return 0
+	}
+	return account.Name.Hash()
+}
+
 // nameOf returns the name of an account, or an empty one.
 func nameOf(account *router.Account) identifier.AccountName {
 	if account == nil {
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -233,7 +233,8 @@
 	a.step(now, admitter.Arrive{
 		Attempt: r.Attempt.ID, Remaining: r.Attempt.Remaining,
 		Fingerprint: r.fingerprint, HasFingerprint: true,
-		Solo:     r.Attempt.Solo || verdict == quarantiner.RunSolo,
+		Solo:    r.Attempt.Solo || verdict == quarantiner.RunSolo,
+		Account: r.Attempt.Urgency.Account, Nested: r.Attempt.Urgency.Nested,
 		Priority: r.Attempt.Urgency.Priority, MaxWait: estimator.MaxWaitForTarget(r.Attempt.Urgency.MaxWait, r.Attempt.Urgency.TargetRemaining, expected),
 	})
 	a.config.OnChange()
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -200,6 +200,7 @@
 		Urgency: encoder.Urgency{
 			Priority: e.request.account.Rank(route), MaxWait: estimator.MaxWait(route.TargetLatency, remaining), Idempotent: route.Idempotent, Slowdown: member.Load.SlowdownPercent,
 			TargetRemaining: max(0, e.x.ReceivedAt+route.TargetLatency-now),
+			Account:         accountHash(e.request.account), Nested: e.request.nested,
 		},
 	}
 	request := &fasthttp.Request{}
