--- /dev/null
+++ b/internal/state/apportioner/apportioner.go
@@ -0,0 +1,241 @@
+// Package apportioner divides the quotas of client accounts among the daemons. It is the
+// coordinator's side of package throttler.
+//
+// An account has a token bucket that is charged with the requests that daemons report
+// as admitted. If the requests offered exceed what the bucket allows, each daemon may admit the
+// same share of its own. A daemon that falls silent is charged with what it may admit
+// without an answer, until its next report says what it did.
+//
+// # Usage
+//
+//	a := apportioner.New(now, epoch)
+//	a.SetAccounts(now, snapshot.Accounts)
+//	grant := a.Use(now, report)
+//
+// An Apportioner is not safe for concurrent use; its owner serialises calls.
+package apportioner
+
+import (
+	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/throttler"
+	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
+)
+
+const (
+	// silenceTimeout is the time without a report after which a daemon counts as cut off.
+	// Three reports in a row are missing then.
+	silenceTimeout = 700 * timer.Millis(1)
+	// forgetAfter is how long a silent daemon is charged. It is the time after which
+	// members are removed.
+	forgetAfter = 2 * timer.Minute
+	// settleInterval is the time between checks for silent daemons.
+	settleInterval = 100 * timer.Millis(1)
+	// learnSpan is how long a new coordinator sets no looser limits than its predecessor.
+	// Each daemon reports several times in it.
+	learnSpan = timer.Second
+)
+
+// Apportioner is the coordinator's state.
+type Apportioner struct {
+	epoch     identifier.Epoch
+	started   timer.Millis
+	usedAt    timer.Millis
+	settledAt timer.Millis
+	accounts  map[throttler.AccountKey]*account
+	// offered holds the accounts with requests.
+	offered map[throttler.AccountKey]*account
+	daemons map[throttler.NodeKey]*daemon
+}
+
+// New returns the state of a coordinator that has just started.
+func New(now timer.Millis, epoch identifier.Epoch) *Apportioner {
+	return &Apportioner{
+		epoch: epoch, started: now, usedAt: now, settledAt: now,
+		accounts: map[throttler.AccountKey]*account{}, offered: map[throttler.AccountKey]*account{},
+		daemons: map[throttler.NodeKey]*daemon{},
+	}
+}
+
+// SetAccounts sets the quotas. Accounts with the same key share the smaller quota.
+func (a *Apportioner) SetAccounts(now timer.Millis, accounts []router.Account) {
+	next := map[throttler.AccountKey]*account{}
+	for _, configured := range accounts {
+		if configured.Quota.PerSecond <= 0 {
+			continue
+		}
+		key, quota := throttler.KeyOf(configured.Name), configured.Quota
+		if shared, found := next[key]; found {
+			quota.PerSecond, quota.Burst = min(quota.PerSecond, shared.quota.PerSecond), min(quota.Burst, shared.quota.Burst)
+		}
+		known, found := a.accounts[key]
+		if !found {
+			known = newAccount(now, quota)
+		}
+		known.setQuota(now, quota)
+		next[key] = known
+	}
+	a.accounts = next
+	for key := range a.offered {
+		if _, found := next[key]; !found {
+			delete(a.offered, key)
+		}
+	}
+	for _, d := range a.daemons {
+		for key := range d.uses {
+			if _, found := next[key]; !found {
+				delete(d.uses, key)
+			}
+		}
+	}
+}
+
+// Use records a report and returns the answer to it.
+func (a *Apportioner) Use(now timer.Millis, report throttler.UseReport) throttler.Grant {
+	a.settle(now)
+	d, known := a.daemons[report.Node]
+	if !known || report.Incarnation > d.incarnation {
+		if known {
+			a.drop(now, d)
+		}
+		d = &daemon{incarnation: report.Incarnation, uses: map[throttler.AccountKey]*use{}}
+		a.daemons[report.Node] = d
+	}
+	if report.Incarnation == d.incarnation && report.Sequence > d.sequence {
+		d.sequence, d.heard = report.Sequence, now
+		a.resume(now, d)
+		a.record(now, d, report)
+	}
+	return throttler.Grant{
+		Incarnation: report.Incarnation, Sequence: report.Sequence, Epoch: a.epoch, Limits: a.limits(now),
+	}
+}
+
+// record applies the uses of a report.
+func (a *Apportioner) record(now timer.Millis, d *daemon, report throttler.UseReport) {
+	for _, reported := range report.Uses {
+		account, found := a.accounts[reported.Account]
+		if !found {
+			continue
+		}
+		if report.Epoch < a.epoch {
+			account.held = min(account.held, reported.Held)
+		}
+		u, known := d.uses[reported.Account]
+		admitted := int32(reported.Unacknowledged)
+		if known {
+			admitted = int32(reported.Admitted - u.admitted)
+		} else {
+			u = &use{meanAt: now}
+			d.uses[reported.Account] = u
+		}
+		account.charge(now, float64(admitted))
+		u.observe(now, float64(admitted))
+		u.admitted, u.sequence = reported.Admitted, report.Sequence
+		a.offer(reported.Account, account, reported.Offered.PerSecond()-u.offered)
+		u.offered = reported.Offered.PerSecond()
+	}
+	if len(report.Uses) >= throttler.MaxUses {
+		return // Accounts that are not named may have requests.
+	}
+	for key, u := range d.uses {
+		if u.sequence == report.Sequence {
+			continue
+		}
+		a.offer(key, a.accounts[key], -u.offered)
+		u.offered = 0
+		if u.idle(now) {
+			delete(d.uses, key)
+		}
+	}
+}
+
+// offer changes the requests offered of an account.
+func (a *Apportioner) offer(key throttler.AccountKey, account *account, change float64) {
+	account.offered += change
+	if account.offered > minRate {
+		a.offered[key] = account
+		return
+	}
+	account.offered = 0
+	delete(a.offered, key)
+}
+
+// limits returns the accounts that are metered.
+func (a *Apportioner) limits(now timer.Millis) []throttler.Limit {
+	var limits []throttler.Limit
+	for key, account := range a.offered {
+		share := account.share(now)
+		if now-a.started < learnSpan {
+			share = min(share, account.held)
+		}
+		if share < throttler.FullShare && len(limits) < throttler.MaxLimits {
+			limits = append(limits, throttler.Limit{Account: key, Share: share})
+		}
+	}
+	return limits
+}
+
+// settle notices daemons that have fallen silent. A pause of the coordinator itself
+// does not make the others silent.
+func (a *Apportioner) settle(now timer.Millis) {
+	gap := now - a.usedAt
+	a.usedAt = now
+	if gap > silenceTimeout/2 {
+		for _, d := range a.daemons {
+			d.heard += gap
+		}
+	}
+	if now-a.settledAt < settleInterval {
+		return
+	}
+	a.settledAt = now
+	for node, d := range a.daemons {
+		switch silent := now - d.heard; {
+		case silent > forgetAfter || len(d.uses) == 0 && silent > silenceTimeout:
+			a.drop(now, d)
+			delete(a.daemons, node)
+		case silent > silenceTimeout && !d.silent:
+			a.reserve(now, d)
+		}
+	}
+}
+
+// reserve charges a silent daemon's accounts with what it may admit without an answer.
+func (a *Apportioner) reserve(now timer.Millis, d *daemon) {
+	d.silent = true
+	for key, u := range d.uses {
+		account := a.accounts[key]
+		u.decay(now)
+		u.reservedAt, u.reserved, u.advance = now, growthWithoutAnswer*u.mean, account.advance(u.mean)
+		account.charge(now, u.advance)
+		account.reserve(now, u.reserved)
+		a.offer(key, account, -u.offered)
+		u.offered = 0
+	}
+}
+
+// resume returns what a silent daemon was charged with. Its report has the actual
+// number.
+func (a *Apportioner) resume(now timer.Millis, d *daemon) {
+	if !d.silent {
+		return
+	}
+	d.silent = false
+	for key, u := range d.uses {
+		account := a.accounts[key]
+		account.reserve(now, -u.reserved)
+		account.charge(now, -u.advance-u.reserved*float64(now-u.reservedAt)/float64(timer.Second))
+	}
+}
+
+// drop removes what a daemon offers and reserves.
+func (a *Apportioner) drop(now timer.Millis, d *daemon) {
+	for key, u := range d.uses {
+		account := a.accounts[key]
+		a.offer(key, account, -u.offered)
+		if d.silent {
+			account.reserve(now, -u.reserved)
+		}
+	}
+}
