Keep quotas small at idle and cut-off daemons

A first request at each of many idle daemons exceeded small quotas by half, since only daemons with requests learned what is metered. Reports without requests now go out every 500 ms, unanswered ones are repeated after 100 ms, and the coordinator reserves what silent daemons may admit.

--- a/internal/state/apportioner/account.go
+++ b/internal/state/apportioner/account.go
@@ -15,12 +15,14 @@
 	spareBurst = 10
 	// levelSpan is the time in which what is left in the bucket may be spent and a debt
 	// is paid back. It is longer than the delay of reports, so that the limit settles.
-	levelSpan = 500 * timer.Millis(1)
+	levelSpan = timer.Second
 	// minRate is the rate below which nothing is offered, because of rounding.
 	minRate = 1e-6
 	// advanceSpan is the time for which a silent daemon went on as before, and
 	// maxGrowth bounds the increase of requests that it may not have reported.
 	advanceSpan = 0.5
+	// usualShare is the usual demand in parts of the quota.
+	usualShare = 0.6
 	maxGrowth   = 8
 	// spareSpan is the time of a silent daemon's rate that it may admit at once.
 	spareSpan = 0.35
@@ -80,7 +82,7 @@
 // admitted before it noticed that answers are missing, if its requests have increased
 // as much as those of others.
 func (c *account) advance(mean float64) float64 {
-	growth := min(max(1, c.offered/(rateShare*c.quota.PerSecond)), maxGrowth)
+	growth := min(max(1, c.offered/(usualShare*c.quota.PerSecond)), maxGrowth)
 	return mean * (advanceSpan*growth + spareSpan)
 }
 
--- a/internal/state/apportioner/apportioner.go
+++ b/internal/state/apportioner/apportioner.go
@@ -24,8 +24,10 @@
 
 const (
 	// silenceTimeout is the time without a report after which a daemon counts as cut off.
-	// Three reports in a row are missing then.
-	silenceTimeout = 700 * timer.Millis(1)
+	// Three reports in a row are missing then, as unanswered ones are repeated after 100 ms.
+	silenceTimeout = 500 * timer.Millis(1)
+	// idleTimeout is the same for a daemon without requests, which reports more rarely.
+	idleTimeout = 900 * timer.Millis(1)
 	// forgetAfter is how long a silent daemon is charged. It is the time after which
 	// members are removed.
 	forgetAfter = 2 * timer.Minute
@@ -102,7 +104,7 @@
 		a.daemons[report.Node] = d
 	}
 	if report.Incarnation == d.incarnation && report.Sequence > d.sequence {
-		d.sequence, d.heard = report.Sequence, now
+		d.sequence, d.heard, d.idle = report.Sequence, now, len(report.Uses) == 0
 		a.resume(now, d)
 		a.record(now, d, report)
 	}
@@ -191,11 +193,15 @@
 	}
 	a.settledAt = now
 	for node, d := range a.daemons {
+		timeout := silenceTimeout
+		if d.idle {
+			timeout = idleTimeout
+		}
 		switch silent := now - d.heard; {
-		case silent > forgetAfter || len(d.uses) == 0 && silent > silenceTimeout:
+		case silent > forgetAfter || len(d.uses) == 0 && silent > timeout:
 			a.drop(now, d)
 			delete(a.daemons, node)
-		case silent > silenceTimeout && !d.silent:
+		case silent > timeout && !d.silent:
 			a.reserve(now, d)
 		}
 	}
--- a/internal/state/apportioner/daemon.go
+++ b/internal/state/apportioner/daemon.go
@@ -24,6 +24,8 @@
 	sequence    uint64
 	heard       timer.Millis
 	silent      bool
+	// idle daemons have no requests.
+	idle bool
 	uses        map[throttler.AccountKey]*use
 }
 
--- a/internal/state/throttler/entry.go
+++ b/internal/state/throttler/entry.go
@@ -26,8 +26,11 @@
 	// with: seconds of the rate, and a number. With growthWithoutAnswer they stay within
 	// the tolerance of the quota over 5 s, 10 % and 20 requests, and leave room for the
 	// requests that were admitted before the missing answer was noticed.
-	spareRate     = 0.35
-	spareRequests = 10
+	spareRate     = 0.45
+	spareRequests = 14
+	// meteredSpan is the time of its rate that a metered account may admit at once without
+	// an answer, in seconds.
+	meteredSpan = 0.4
 )
 
 // entry is the state of one account at a daemon.
@@ -63,7 +66,7 @@
 // requests are still admitted by the last share. Until then, an account at 7.5 times its usual
 // rate takes 4.7 times its quota; the smaller quotas have the tolerance of 20 requests.
 func (e *entry) patience() timer.Millis {
-	return 250 + timer.Millis(min(350, 500/e.quota.PerSecond))
+	return 220 + timer.Millis(min(350, 500/e.quota.PerSecond))
 }
 
 // count counts a request in the window.
@@ -98,7 +101,9 @@
 
 // follow decides by the share, with the remainders carried over, so that few requests
 // are refused as evenly as many.
-func (e *entry) follow(now timer.Millis) bool {
+// The mean is kept only with recent answers, so that an increase that the coordinator
+// may not know of does not enlarge the rate without an answer.
+func (e *entry) follow(now timer.Millis, recent bool) bool {
 	e.decay(now)
 	if e.share < FullShare {
 		if e.credit += e.share.Fraction(); e.credit < 1 {
@@ -106,7 +111,9 @@
 		}
 		e.credit--
 	}
-	e.mean += float64(timer.Second) / float64(historyWindow)
+	if recent {
+		e.mean += float64(timer.Second) / float64(historyWindow)
+	}
 	return true
 }
 
@@ -122,10 +129,19 @@
 	}
 }
 
+// capacity is the number of tokens that a daemon without an answer starts with. A
+// metered account has used what all daemons may spare.
+func (e *entry) capacity(daemons int) float64 {
+	if e.share < FullShare {
+		return min(1, e.mean*meteredSpan)
+	}
+	return (spareRate*e.quota.PerSecond + spareRequests) / float64(daemons)
+}
+
 // refill adds tokens for the time since the last request without an answer. The
 // first one since contact was lost begins with a full bucket.
 func (e *entry) refill(now, cutOff timer.Millis, daemons int) {
-	capacity := (spareRate*e.quota.PerSecond + spareRequests) / float64(daemons)
+	capacity := e.capacity(daemons)
 	if e.cutOff != cutOff {
 		e.decay(cutOff)
 		e.cutOff, e.tokens, e.tokensAt = cutOff, capacity, now
--- a/internal/state/throttler/throttler.go
+++ b/internal/state/throttler/throttler.go
@@ -36,6 +36,15 @@
 	// Bounds of the time after which a refused caller is told to return.
 	minRetryAfter = 200 * timer.Millis(1)
 	maxRetryAfter = 2 * timer.Second
+	// repeatInterval is the time after which a report without an answer is followed by
+	// the next, for repeatSpan. Half of ReportInterval keeps requests from being limited
+	// without an answer when two datagrams are lost.
+	repeatInterval = 100 * timer.Millis(1)
+	repeatSpan     = 2 * timer.Second
+	// keepAliveInterval is the time between reports without requests. A daemon learns from
+	// the answers which accounts are metered before the first request of one: one request
+	// at every daemon may exceed a small quota.
+	keepAliveInterval = 500 * timer.Millis(1)
 	// sentReports is the number of reports whose times are kept. Later ones are
 	// sent at least every ReportInterval, so an answer to an earlier one is of no use.
 	sentReports = 16
@@ -141,9 +150,10 @@
 	}
 	e.count(now)
 	t.activate(e)
-	answered := t.Waiting(now) <= e.patience()
+	waiting := t.Waiting(now)
+	answered := waiting <= e.patience()
 	if answered {
-		ok = e.follow(now)
+		ok = e.follow(now, waiting <= repeatInterval)
 	} else {
 		e.refill(now, t.waitingSince, t.daemons)
 		ok = e.draw(t.random.Float64())
@@ -189,11 +199,26 @@
 	}
 }
 
+// due reports whether a report is sent now.
+func (t *Throttler) due(now timer.Millis) bool {
+	passed := now - t.reportedAt
+	switch {
+	case t.Surging(now):
+		return true
+	case t.waitingSince > 0 && now-t.waitingSince < repeatSpan:
+		return passed >= repeatInterval
+	case len(t.active) > 0:
+		return passed >= ReportInterval
+	default:
+		return passed >= keepAliveInterval
+	}
+}
+
 // Report returns the next report if one is due: ReportInterval after the last one, or
-// sooner if requests have increased. None is due while nothing is to be reported. The
-// caller sets node and incarnation.
+// sooner if requests have increased or the last one was not answered, and later if there
+// are none. None is due while no account has a quota. The caller sets node and incarnation.
 func (t *Throttler) Report(now timer.Millis) (report UseReport, due bool) {
-	if len(t.active) == 0 || now-t.reportedAt < ReportInterval && !t.Surging(now) {
+	if !t.Limited() || !t.due(now) {
 		return UseReport{}, false
 	}
 	t.sequence++
