--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -106,6 +106,7 @@
 	ingress       *dispatcher.Ingress
 	gossiper      *gossiper.Gossiper
 	peers         *dispatcher.Peers
+	quotas        *quotas
 
 	callerServer         *exchanger.Server
 	peerServer           *exchanger.Server
@@ -139,6 +140,7 @@
 		OnLeave:   d.requestRegistration, // Stored in the directory, so that the leave survives a restart of the daemon.
 		OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
+	d.quotas = d.newQuotas()
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
 		Address: config.Addresses.Reports, Clock: clock,
@@ -147,6 +149,7 @@
 		FailureDomain: config.FailureDomain, Uses: func(service registrar.ServiceKey) bool { return d.ingress.Uses(service) },
 		Superseded:  d.supersede,
 		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
+		Used: d.quotas.used, Granted: d.quotas.granted,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -194,6 +197,7 @@
 		"routes", len(current.Routes), "out", current.OutOfService)
 	d.ingress.RetainRoutes(current)
 	d.admission.ApplyConfiguration()
+	d.quotas.apply(current)
 	d.gossiper.TriggerBroadcast()
 }
 
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -102,6 +102,7 @@
 			d.closeFormerPeers()
 		}
 		d.admission.Tick()
+		d.quotas.tick(ctx)
 		<-ticker.C
 	}
 }
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -31,6 +31,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/throttler"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -90,6 +91,10 @@
 	Outcomes func(service registrar.ServiceKey, halt bool) (comparer.Report, bool)
 	// Counted is called with each answer to AskOutcomes. It may be nil.
 	Counted func(comparer.Report)
+	// Used is called with each report of the use of quotas and its sender, Granted with each
+	// answer to one. Both may be nil.
+	Used    func(throttler.UseReport, netip.AddrPort)
+	Granted func(throttler.Grant)
 	Logger  *slog.Logger
 }
 
@@ -118,6 +123,9 @@
 	traffic    traffic
 	decision   decision
 	outcomes   outcomes
+	// domains are the failure domains by report address as of domainsVersion.
+	domains        map[netip.AddrPort]identifier.FailureDomain
+	domainsVersion uint64
 }
 
 type pendingEntry struct {
@@ -412,6 +420,10 @@
 		return g.answerOutcomes(data[1:], from)
 	case kindOutcomes:
 		return g.receiveOutcomes(data[1:])
+	case kindUse:
+		return g.receiveUse(data[1:], from)
+	case kindGrant:
+		return g.receiveGrant(data[1:])
 	default:
 		return Error.New("unknown datagram kind %d", data[0])
 	}
--- a/internal/coordination/gossiper/traffic.go
+++ b/internal/coordination/gossiper/traffic.go
@@ -14,6 +14,8 @@
 	trafficStatus trafficKind = iota
 	trafficReport
 	trafficRequest
+	trafficUse
+	trafficGrant
 	trafficKinds
 )
 
@@ -42,7 +44,7 @@
 
 func newTraffic() traffic {
 	t := traffic{answers: newTrafficCounter("answer", "unknown")}
-	for kind, name := range [trafficKinds]string{"status", "report", "request"} {
+	for kind, name := range [trafficKinds]string{"status", "report", "request", "use", "grant"} {
 		t.same[kind] = newTrafficCounter(name, "same")
 		t.other[kind] = newTrafficCounter(name, "other")
 	}
--- a/internal/state/apportioner/account.go
+++ b/internal/state/apportioner/account.go
@@ -10,22 +10,32 @@
 	// rateShare is the part of the rate that is granted. The rest covers requests that are
 	// reported late.
 	rateShare = 0.98
-	// spareBurst is added to the burst, out of the tolerance of 20 requests. Small
-	// accounts need it, since their requests come unevenly.
-	spareBurst = 10
-	// levelSpan is the time in which what is left in the bucket may be spent and a debt
-	// is paid back. It is longer than the delay of reports, so that the limit settles.
-	levelSpan = timer.Second
+	// spareBurst is added to small bursts, out of the tolerance of 20 requests: requests
+	// of small accounts come unevenly. A burst of spareBurst x spareDivisor needs none.
+	spareBurst   = 10
+	spareDivisor = 10
+	// quickTokens may be spent within quickSpan, for the same reason.
+	quickTokens = 5
+	quickSpan   = 250 * timer.Millis(1)
+	// spendSpan is the time in which what is left in the bucket may be spent: slowly, since
+	// the other daemons may turn out to be cut off. debtSpan is the time in which a debt is
+	// paid back. It is longer than the delay of reports, so that the limit settles.
+	spendSpan = 2 * timer.Second
+	debtSpan  = 500 * timer.Millis(1)
 	// minRate is the rate below which nothing is offered, because of rounding.
 	minRate = 1e-6
-	// advanceSpan is the time for which a silent daemon went on as before, and
-	// maxGrowth bounds the increase of requests that it may not have reported.
-	advanceSpan = 0.5
-	// usualShare is the usual demand in parts of the quota.
-	usualShare = 0.6
+	// advanceSpan is the time in seconds for which a silent daemon may have gone on as
+	// before: until it noticed that answers are missing, with a reserve for its means,
+	// which it knows better than the coordinator. maxGrowth bounds the increase of
+	// requests that it may not have reported, usualShare is the usual demand in parts of
+	// the quota.
+	advanceSpan = 1.1
 	maxGrowth   = 8
-	// spareSpan is the time of a silent daemon's rate that it may admit at once.
-	spareSpan = 0.35
+	usualShare  = 0.6
+	// spareRate and spareRequests are those of package throttler: what all daemons
+	// without an answer may admit at once.
+	spareRate     = 0.4
+	spareRequests = 13
 )
 
 // account is the token bucket of an account over all daemons.
@@ -50,7 +60,9 @@
 	return c
 }
 
-func (c *account) capacity() float64 { return c.quota.Burst + spareBurst }
+func (c *account) capacity() float64 {
+	return c.quota.Burst + max(0, spareBurst-c.quota.Burst/spareDivisor)
+}
 
 func (c *account) setQuota(now timer.Millis, quota router.Quota) {
 	c.refill(now)
@@ -82,16 +94,26 @@
 // admitted before it noticed that answers are missing, if its requests have increased
 // as much as those of others.
 func (c *account) advance(mean float64) float64 {
-	growth := min(max(1, c.offered/(usualShare*c.quota.PerSecond)), maxGrowth)
-	return mean * (advanceSpan*growth + spareSpan)
+	usual := usualShare * c.quota.PerSecond
+	growth := min(max(1, c.offered/usual), maxGrowth)
+	return mean*advanceSpan*growth + min(1, mean/usual)*(spareRate*c.quota.PerSecond+spareRequests)
 }
 
 // share returns the part of the requests that is admitted.
 func (c *account) share(now timer.Millis) throttler.Share {
 	c.refill(now)
-	allowed := c.rate() + c.level*float64(timer.Second)/float64(levelSpan)
+	allowed := c.rate()
+	if c.level < 0 {
+		allowed += perSecond(c.level, debtSpan)
+	} else {
+		allowed += perSecond(c.level, spendSpan) + perSecond(min(c.level, quickTokens), quickSpan)
+	}
 	if allowed >= c.offered {
 		return throttler.FullShare
 	}
 	return throttler.ShareOf(allowed / c.offered)
 }
+
+func perSecond(requests float64, span timer.Millis) float64 {
+	return requests * float64(timer.Second) / float64(span)
+}
--- a/internal/state/apportioner/daemon.go
+++ b/internal/state/apportioner/daemon.go
@@ -26,7 +26,7 @@
 	silent      bool
 	// idle daemons have no requests.
 	idle bool
-	uses        map[throttler.AccountKey]*use
+	uses map[throttler.AccountKey]*use
 }
 
 // use is what a daemon has reported of one account.
--- a/internal/state/throttler/entry.go
+++ b/internal/state/throttler/entry.go
@@ -26,8 +26,8 @@
 	// with: seconds of the rate, and a number. With growthWithoutAnswer they stay within
 	// the tolerance of the quota over 5 s, 10 % and 20 requests, and leave room for the
 	// requests that were admitted before the missing answer was noticed.
-	spareRate     = 0.45
-	spareRequests = 14
+	spareRate     = 0.4
+	spareRequests = 13
 	// meteredSpan is the time of its rate that a metered account may admit at once without
 	// an answer, in seconds.
 	meteredSpan = 0.4
@@ -66,7 +66,7 @@
 // requests are still admitted by the last share. Until then, an account at 7.5 times its usual
 // rate takes 4.7 times its quota; the smaller quotas have the tolerance of 20 requests.
 func (e *entry) patience() timer.Millis {
-	return 220 + timer.Millis(min(350, 500/e.quota.PerSecond))
+	return 200 + timer.Millis(min(350, 500/e.quota.PerSecond))
 }
 
 // count counts a request in the window.
--- a/internal/state/throttler/message.go
+++ b/internal/state/throttler/message.go
@@ -44,7 +44,9 @@
 type NodeKey uint32
 
 // NodeKeyOf returns the key of a node.
-func NodeKeyOf(node identifier.InstanceID) NodeKey { return NodeKey(KeyOf(identifier.AccountName(node))) }
+func NodeKeyOf(node identifier.InstanceID) NodeKey {
+	return NodeKey(KeyOf(identifier.AccountName(node)))
+}
 
 // Rate is a number of requests in 1000 s.
 type Rate uint32
--- a/internal/state/throttler/throttler.go
+++ b/internal/state/throttler/throttler.go
@@ -85,7 +85,7 @@
 // SetAccounts sets the quotas and the number of daemons that share them. Accounts with
 // the same key share the smaller quota.
 func (t *Throttler) SetAccounts(now timer.Millis, accounts []router.Account, daemons int) {
-	t.daemons = max(1, daemons)
+	t.SetDaemons(daemons)
 	before := t.byKey
 	t.byName, t.byKey = map[identifier.AccountName]*entry{}, map[AccountKey]*entry{}
 	for i := range accounts {
@@ -106,6 +106,9 @@
 	t.active, t.metered = known(t.active), known(t.metered)
 }
 
+// SetDaemons sets the number of daemons that share the quotas.
+func (t *Throttler) SetDaemons(daemons int) { t.daemons = max(1, daemons) }
+
 func (t *Throttler) add(now timer.Millis, before map[AccountKey]*entry, account *router.Account) {
 	key, quota := KeyOf(account.Name), account.Quota
 	if e, shared := t.byKey[key]; shared {
