--- a/internal/state/apportioner/apportioner.go
+++ b/internal/state/apportioner/apportioner.go
@@ -34,8 +34,9 @@
 	// settleInterval is the time between checks for silent daemons.
 	settleInterval = 100 * timer.Millis(1)
 	// learnSpan is how long a new coordinator sets no looser limits than its predecessor.
-	// Each daemon reports several times in it.
-	learnSpan = timer.Second
+	// All daemons in contact learn of it in this time; until then it knows only a part of
+	// the requests, and the predecessor grants the rest.
+	learnSpan = 2500 * timer.Millis(1)
 )
 
 // Apportioner is the coordinator's state.
--- a/internal/state/throttler/entry.go
+++ b/internal/state/throttler/entry.go
@@ -121,7 +121,8 @@
 func (e *entry) rateWithoutAnswer(daemons int) float64 {
 	switch {
 	case e.mean < minHistory:
-		return shareWithoutHistory * e.quota.PerSecond / float64(daemons)
+		equal := shareWithoutHistory * e.quota.PerSecond / float64(daemons)
+		return min(equal, growthWithoutAnswer*minHistory)
 	case e.share < FullShare:
 		return e.mean
 	default:
