--- a/internal/assembler/quotas.go
+++ b/internal/assembler/quotas.go
@@ -65,6 +65,7 @@
 	// apportioner is nil unless this daemon is the coordinator.
 	apportioner *apportioner.Apportioner
 	accounts    []router.Account
+	daemons     int
 	// coordinatorSince is when the coordinator became known, or when one was needed first.
 	coordinatorSince timer.Millis
 	countedAt        timer.Millis
@@ -103,6 +104,7 @@
 	daemons := q.config.Daemons()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.daemons = daemons
 	now := q.config.Clock.Now()
 	if !sameAccounts(q.accounts, snapshot.Accounts) {
 		q.accounts = snapshot.Accounts
@@ -138,6 +140,7 @@
 	case q.apportioner == nil:
 		q.apportioner = apportioner.New(now, next.Epoch)
 		q.apportioner.SetAccounts(now, q.accounts)
+		q.apportioner.SetDaemons(q.daemons)
 	}
 }
 
@@ -157,7 +160,11 @@
 	if counting {
 		daemons := q.config.Daemons()
 		q.mu.Lock()
+		q.daemons = daemons
 		q.throttler.SetDaemons(daemons)
+		if q.apportioner != nil {
+			q.apportioner.SetDaemons(daemons)
+		}
 		q.mu.Unlock()
 	}
 	q.report()
--- /dev/null
+++ b/internal/coordination/gossiper/quotas_test.go
@@ -0,0 +1,41 @@
+package gossiper
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/state/throttler"
+)
+
+// Guards against a report of quotas that does not reach the coordinator, an answer that
+// does not reach its daemon, and malformed datagrams that are passed on.
+func TestUseAndGrant(t *testing.T) {
+	granted := make(chan throttler.Grant, 1)
+	a, b := newDaemon(t, "a", 1), newDaemon(t, "b", 2)
+	limits := []throttler.Limit{{Account: 7, Share: 3}}
+	used := func(report throttler.UseReport, from netip.AddrPort) {
+		b.SendGrant(from, throttler.Grant{Incarnation: report.Incarnation, Sequence: report.Sequence, Epoch: 5, Limits: limits})
+	}
+	b.config.Used, a.config.Granted = used, func(grant throttler.Grant) { granted <- grant }
+	before := a.traffic.other[trafficUse].datagrams.Get()
+	a.SendUse("no address", throttler.UseReport{})
+	a.SendUse(b.config.Address, throttler.UseReport{Incarnation: 1, Sequence: 4})
+	select {
+	case grant := <-granted:
+		if grant.Sequence != 4 || grant.Epoch != 5 || !slices.Equal(grant.Limits, limits) {
+			t.Errorf("answer %+v", grant)
+		}
+	case <-time.After(testTimeout):
+		t.Fatal("no answer")
+	}
+	if got := a.traffic.other[trafficUse].datagrams.Get() - before; got != 1 {
+		t.Errorf("%d datagrams counted", got)
+	}
+	for _, data := range []string{"u", "U", "u\x01", "U\x01\x01\x01\x09"} {
+		if err := a.receive([]byte(data), netip.AddrPort{}); err == nil {
+			t.Errorf("%q was accepted", data)
+		}
+	}
+}
--- a/internal/state/apportioner/account.go
+++ b/internal/state/apportioner/account.go
@@ -50,13 +50,21 @@
 	reserved float64
 	// held is the smallest share that daemons held from an earlier coordinator.
 	held throttler.Share
+	// fleet is shared by all accounts.
+	fleet *contact
 }
 
-// newAccount returns a half full bucket: an earlier coordinator may just have granted
-// the rest.
-func newAccount(now timer.Millis, quota router.Quota) *account {
-	c := &account{quota: quota, at: now, held: throttler.FullShare}
-	c.level = c.capacity() / 2
+// contact is how far the coordinator is in contact with the daemons.
+type contact struct {
+	// unheard is the part of the daemons that have not reported to this coordinator.
+	unheard float64
+}
+
+// newAccount returns a bucket with a quarter of its tokens: an earlier coordinator may
+// just have granted the others.
+func newAccount(now timer.Millis, quota router.Quota, fleet *contact) *account {
+	c := &account{quota: quota, at: now, held: throttler.FullShare, fleet: fleet}
+	c.level = c.capacity() / 4
 	return c
 }
 
@@ -70,8 +78,11 @@
 	c.level = min(c.level, c.capacity())
 }
 
-// rate returns the rate of daemons that report.
-func (c *account) rate() float64 { return rateShare*c.quota.PerSecond - c.reserved }
+// rate returns the rate of daemons that report. Those that never did may follow another
+// coordinator, or none, and admit growthWithoutAnswer x the usual demand.
+func (c *account) rate() float64 {
+	return (rateShare-growthWithoutAnswer*usualShare*c.fleet.unheard)*c.quota.PerSecond - c.reserved
+}
 
 func (c *account) refill(now timer.Millis) {
 	if now > c.at {
--- a/internal/state/apportioner/apportioner.go
+++ b/internal/state/apportioner/apportioner.go
@@ -10,6 +10,7 @@
 //
 //	a := apportioner.New(now, epoch)
 //	a.SetAccounts(now, snapshot.Accounts)
+//	a.SetDaemons(daemons)
 //	grant := a.Use(now, report)
 //
 // An Apportioner is not safe for concurrent use; its owner serialises calls.
@@ -49,6 +50,9 @@
 	// offered holds the accounts with requests.
 	offered map[throttler.AccountKey]*account
 	daemons map[throttler.NodeKey]*daemon
+	// fleetSize is the number of daemons that may run, and fleet how many have reported.
+	fleetSize int
+	fleet     *contact
 }
 
 // New returns the state of a coordinator that has just started.
@@ -56,7 +60,19 @@
 	return &Apportioner{
 		epoch: epoch, started: now, usedAt: now, settledAt: now,
 		accounts: map[throttler.AccountKey]*account{}, offered: map[throttler.AccountKey]*account{},
-		daemons: map[throttler.NodeKey]*daemon{},
+		daemons: map[throttler.NodeKey]*daemon{}, fleet: &contact{},
+	}
+}
+
+// SetDaemons sets the number of daemons that may run, silent ones included.
+func (a *Apportioner) SetDaemons(count int) {
+	a.fleetSize = count
+	a.countUnheard()
+}
+
+func (a *Apportioner) countUnheard() {
+	if a.fleetSize > 0 {
+		a.fleet.unheard = max(0, 1-float64(len(a.daemons))/float64(a.fleetSize))
 	}
 }
 
@@ -73,7 +89,7 @@
 		}
 		known, found := a.accounts[key]
 		if !found {
-			known = newAccount(now, quota)
+			known = newAccount(now, quota, a.fleet)
 		}
 		known.setQuota(now, quota)
 		next[key] = known
@@ -103,6 +119,7 @@
 		}
 		d = &daemon{incarnation: report.Incarnation, uses: map[throttler.AccountKey]*use{}}
 		a.daemons[report.Node] = d
+		a.countUnheard()
 	}
 	if report.Incarnation == d.incarnation && report.Sequence > d.sequence {
 		d.sequence, d.heard, d.idle = report.Sequence, now, len(report.Uses) == 0
@@ -202,6 +219,7 @@
 		case silent > forgetAfter || len(d.uses) == 0 && silent > timeout:
 			a.drop(now, d)
 			delete(a.daemons, node)
+			a.countUnheard()
 		case silent > timeout && !d.silent:
 			a.reserve(now, d)
 		}
--- a/internal/state/apportioner/fleet_test.go
+++ b/internal/state/apportioner/fleet_test.go
@@ -88,6 +88,7 @@
 func (f *fleet) name(epoch identifier.Epoch, spread timer.Millis) {
 	f.leaders[epoch] = &leader{Apportioner: apportioner.New(f.now, epoch)}
 	f.leaders[epoch].SetAccounts(f.now, f.accounts)
+	f.leaders[epoch].SetDaemons(daemons)
 	for _, m := range f.members {
 		f.later(timer.Millis(f.random.Int64N(int64(spread)+1)), func() {
 			if !m.cut {
