--- a/internal/assembler/quotas.go
+++ b/internal/assembler/quotas.go
@@ -25,13 +25,6 @@
 	fleetInterval = timer.Second
 )
 
-// coordinatorStore holds the record that names the coordinator.
-type coordinatorStore interface {
-	Read(ctx context.Context) (router.Control, error)
-	// WriteCoordinator fails if there are records after since.
-	WriteCoordinator(ctx context.Context, coordinator router.Coordinator, since router.Position) (router.Position, error)
-}
-
 // quotasConfig holds what quotas need.
 type quotasConfig struct {
 	Node        identifier.InstanceID
@@ -40,7 +33,7 @@
 	Address identifier.Address
 	Clock   timer.Clock
 	// Store may be nil: this daemon names no coordinator then.
-	Store coordinatorStore
+	Store ControlStore
 	// Deciding reports whether this daemon names a coordinator if one is needed.
 	Deciding func() bool
 	// Daemons returns the number of daemons, silent ones included: those that are cut off
@@ -283,18 +276,12 @@
 func (d *Daemon) newQuotas() *quotas {
 	return newQuotas(quotasConfig{
 		Node: d.config.Node, Incarnation: func() identifier.Incarnation { return identifier.Incarnation(d.incarnation.Load()) },
-		Address: d.config.Addresses.Reports, Clock: d.clock,
+		Address: d.config.Addresses.Reports, Clock: d.clock, Store: d.config.Control,
 		Deciding:  func() bool { return d.gossiper.Deciding() },
 		Daemons:   func() int { return max(d.gossiper.ActiveCount(), len(d.gossiper.Members())+1) },
 		SendUse:   func(to identifier.Address, report throttler.UseReport) { d.gossiper.SendUse(to, report) },
 		SendGrant: func(to netip.AddrPort, grant throttler.Grant) { d.gossiper.SendGrant(to, grant) },
-		Learned:   d.learnControl, Logger: d.config.Logger,
+		Learned:   func(control router.Control) { d.adopt(&router.Snapshot{Control: control}) },
+		Logger:    d.config.Logger,
 	})
 }
-
-// learnControl adopts what the store holds of the decisions of daemons.
-func (d *Daemon) learnControl(control router.Control) {
-	next := *d.configuration.Snapshot()
-	next.Control = control
-	d.adopt(&next)
-}
--- a/internal/assembler/quotas_test.go
+++ b/internal/assembler/quotas_test.go
@@ -20,6 +20,8 @@
 
 // quotaFleet is daemons with quotas that share a store and a configuration.
 type quotaFleet struct {
+	ControlStore
+
 	mu       sync.Mutex
 	control  router.Control
 	refuse   bool
