--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -111,6 +111,7 @@
 	ingress       *dispatcher.Ingress
 	gossiper      *gossiper.Gossiper
 	peers         *dispatcher.Peers
+	quotas        *quotas
 	rollouts      *rollouts
 
 	callerServer         *exchanger.Server
@@ -145,6 +146,7 @@
 		OnLeave:   d.requestRegistration, // Stored in the directory, so that the leave survives a restart of the daemon.
 		OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
+	d.quotas = d.newQuotas()
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
 		Address: config.Addresses.Reports, Clock: clock,
@@ -153,6 +155,7 @@
 		FailureDomain: config.FailureDomain, Uses: d.uses,
 		Superseded:  d.supersede,
 		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
+		Used: d.quotas.used, Granted: d.quotas.granted,
 		Outcomes: d.countedOutcomes, Counted: func(r comparer.Report) { d.rollouts.Counted(r) },
 	})
 	if err != nil {
@@ -223,6 +226,7 @@
 		"routes", len(current.Routes), "out", current.OutOfService, "orders", len(current.Orders), "control_era", current.Control.Era, "control_offset", current.Control.Offset)
 	d.ingress.RetainRoutes(current)
 	d.admission.ApplyConfiguration()
+	d.quotas.apply(current)
 	d.rollouts.SnapshotChanged()
 	d.gossiper.TriggerBroadcast()
 }
