--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -170,7 +170,7 @@
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
 		Self: config.Node, Caller: config.Service, Incarnation: incarnation, FailureDomain: config.FailureDomain,
 		Clock: clock, Configuration: d.configuration, Members: d.gossiper, Peers: d.peers, Admission: d.admission,
-		Dialect: config.Dialect, Bodies: config.Bodies, Retries: config.Retries, OnNewerConfiguration: d.scheduleFetch, Logger: config.Logger,
+		Dialect: config.Dialect, Bodies: config.Bodies, Retries: config.Retries, Quotas: d.quotas, OnNewerConfiguration: d.scheduleFetch, Logger: config.Logger,
 	})
 	return d, nil
 }
