--- a/internal/state/apportioner/account.go
+++ b/internal/state/apportioner/account.go
@@ -24,11 +24,11 @@
 	debtSpan  = 500 * timer.Millis(1)
 	// minRate is the rate below which nothing is offered, because of rounding.
 	minRate = 1e-6
-	// advanceSpan is the time in seconds for which a silent daemon may have gone on as
-	// before: until it noticed that answers are missing, with a reserve for its means,
-	// which it knows better than the coordinator. maxGrowth bounds the increase of
-	// requests that it may not have reported, usualShare is the usual demand in parts of
-	// the quota.
+	// advanceSpan is the time in seconds for which a silent daemon is charged as if it had
+	// gone on as before. It notices after 0.2 to 0.4 s that answers are missing; with 0.5,
+	// half of the daemons cut off while an account becomes hot got 1.07 of what the quota
+	// allows in trials. maxGrowth bounds the assumed increase of its requests, and
+	// usualShare is the usual demand in parts of the quota.
 	advanceSpan = 1.1
 	maxGrowth   = 8
 	usualShare  = 0.6
--- a/internal/state/apportioner/apportioner_test.go
+++ b/internal/state/apportioner/apportioner_test.go
@@ -179,16 +179,16 @@
 		// small and large are the largest shares refused for quotas up to 25 and from 100.
 		small, large float64
 	}{
-		{"in steady state", func(f *fleet) { f.run(20 * timer.Second) }, 0.002, 0.001},
+		{"in steady state", func(f *fleet) { f.run(20 * timer.Second) }, 0.001, 0.001},
 		{"with 5 % of the datagrams lost", func(f *fleet) {
 			f.loss = 0.05
 			f.run(20 * timer.Second)
-		}, 0.01, 0.005},
+		}, 0.002, 0.002},
 		{"in the 3 s in which a coordinator is replaced", func(f *fleet) {
 			f.leaders[1].dead = true
 			f.replace(2)
 			f.run(1700)
-		}, 0.6, 0.4},
+		}, 0.45, 0.25},
 	} {
 		It("guards against refusals within the quota: "+c.name, func() {
 			refused, samples := map[bool]float64{}, map[bool]float64{}
