Test accounts that send one attempt after another beside one that waits

Without the memory of accounts served since the virtual time advanced, the account that waits started once in 24 runs beside two others, and no test failed. The new test fails without it, and without the bound of that memory.

--- a/internal/state/admitter/accounts_test.go
+++ b/internal/state/admitter/accounts_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// Guards against an account that waits without an end beside accounts that each send one
+// attempt after another, and against state for every account that was served meanwhile.
+func TestSequentialAccounts(t *testing.T) {
+	for _, accounts := range []int{2, 500} {
+		s := newServer(1, 40, 10)
+		for range 20 {
+			s.arrive(admitter.Arrive{Account: 1, Remaining: 9000})
+		}
+		for n := range 12 * accounts { // always one of them waits when a run ends
+			s.arrive(admitter.Arrive{Account: 2 + uint32(n%accounts)})
+			s.end(0)
+			if got, most := s.a.Status().Accounts, 256+len(s.waiting)+len(s.running); got > most {
+				t.Fatalf("state for %d accounts, want at most %d", got, most)
+			}
+		}
+		if got := s.started[1]; got < 8 {
+			t.Errorf("%d accounts: account 1 started %d times in %d runs", accounts, got, 12*accounts)
+		}
+	}
+}
+
 // Guards against a burst of a low rank, 2.3 times the usual for 6 s, that makes attempts
 // of rank 0 wait for more than one run or be refused.
 func TestBurstOfLowRank(t *testing.T) {
