Let the tests of roll-outs demand that none is judged wrongly

The bounds stood at what had been measured. The stated target is none, so the cases that miss it are known failures now, with what was seen.

--- a/internal/state/promoter/rollout_test.go
+++ b/internal/state/promoter/rollout_test.go
@@ -60,51 +60,51 @@
 }
 
 // Guards against a bad version that is completed, gets requests later than 5 s after its
-// 50th bad answer, or gets more than a tenth of the requests and 50. On a day with other
-// faults the two cannot always be told apart: missed is the bound of such roll-outs of 100.
+// 50th bad answer, or gets more than a tenth of the requests and 50.
 func TestBadVersions(t *testing.T) {
 	cases := []struct {
 		name      string
 		fault     fault
 		perSecond float64
 		badDay    bool
-		missed    int64
 	}{
-		{"40 % failures, little traffic", failing(always), 60, false, 0},
-		{"40 % failures", failing(always), 400, false, 0},
-		{"8 times slower in 45 % of the runs, little traffic", slow, 60, false, 0},
-		{"8 times slower in 45 % of the runs", slow, 400, false, 0},
-		{"bad 3 s after the order", failing(func(f *fixture, _ int) bool { return f.now >= 3000 }), 60, false, 0},
-		{"bad in the second step, little traffic", failing(func(f *fixture, _ int) bool { return f.now >= 7500 }), 60, false, 0},
-		{"bad in the second step", failing(func(f *fixture, _ int) bool { return f.now >= 7500 }), 400, false, 0},
-		{"bad under load, little traffic", failing(underLoad), 60, false, 0},
-		{"bad under load", failing(underLoad), 400, false, 0},
-		{"bad on one route", failing(oneRoute), 400, false, 0},
-		{"bad day, 40 % failures, little traffic", failing(always), 60, true, 4},
-		{"bad day, 40 % failures", failing(always), 400, true, 0},
-		{"bad day, 8 times slower in 45 % of the runs", slow, 400, true, 0},
-		{"bad day, bad under load, little traffic", failing(underLoad), 60, true, 6},
-		{"bad day, bad under load", failing(underLoad), 400, true, 0},
-		{"bad day, bad on one route", failing(oneRoute), 400, true, 20},
+		{"40 % failures, little traffic", failing(always), 60, false},
+		{"40 % failures", failing(always), 400, false},
+		{"8 times slower in 45 % of the runs, little traffic", slow, 60, false},
+		{"8 times slower in 45 % of the runs", slow, 400, false},
+		{"bad 3 s after the order", failing(func(f *fixture, _ int) bool { return f.now >= 3000 }), 60, false},
+		{"bad in the second step, little traffic", failing(func(f *fixture, _ int) bool { return f.now >= 7500 }), 60, false},
+		{"bad in the second step", failing(func(f *fixture, _ int) bool { return f.now >= 7500 }), 400, false},
+		{"bad under load, little traffic", failing(underLoad), 60, false},
+		{"bad under load", failing(underLoad), 400, false},
+		{"bad on one route", failing(oneRoute), 400, false},
+		{"bad day, 40 % failures, little traffic", failing(always), 60, true},
+		{"bad day, 40 % failures", failing(always), 400, true},
+		{"bad day, 8 times slower in 45 % of the runs", slow, 400, true},
+		{"bad day, bad under load, little traffic", failing(underLoad), 60, true},
+		{"bad day, bad under load", failing(underLoad), 400, true},
+		{"bad day, bad on one route", failing(oneRoute), 400, true},
 		// The route has 10 requests a second, so 50 bad answers are not reached in time.
-		{"bad on one route, little traffic", failing(oneRoute), 60, false, 75},
-		{"bad day, bad on one route, little traffic", failing(oneRoute), 60, true, 95},
+		{"bad on one route, little traffic", failing(oneRoute), 60, false},
+		{"bad day, bad on one route, little traffic", failing(oneRoute), 60, true},
 	}
 	const seeds = 100
 	for _, c := range cases {
-		o := play(seeds, func(seed uint64) *fixture {
-			f := newFixture(seed, 8, 1, c.perSecond)
-			f.fault = c.fault
-			if c.badDay {
-				f.withBadDay()
+		t.Run(c.name, func(t *testing.T) {
+			o := play(seeds, func(seed uint64) *fixture {
+				f := newFixture(seed, 8, 1, c.perSecond)
+				f.fault = c.fault
+				if c.badDay {
+					f.withBadDay()
+				}
+				return f
+			})
+			t.Logf("%d of %d rolled back, %d completed, %d late, %d overexposed",
+				o.rolledBack.Load(), seeds, o.completed.Load(), o.late.Load(), o.overexposed.Load())
+			if max(seeds-o.rolledBack.Load(), o.late.Load(), o.overexposed.Load()) > 0 {
+				t.Error("not every version was rolled back in time")
 			}
-			return f
 		})
-		t.Logf("%s: %d of %d rolled back, %d completed, %d late, %d overexposed",
-			c.name, o.rolledBack.Load(), seeds, o.completed.Load(), o.late.Load(), o.overexposed.Load())
-		if max(seeds-o.rolledBack.Load(), o.late.Load(), o.overexposed.Load()) > c.missed {
-			t.Errorf("%s: more than %d missed, see above", c.name, c.missed)
-		}
 	}
 }
 
@@ -115,8 +115,8 @@
 // oneRoute is true for a route with a sixth of the requests.
 func oneRoute(_ *fixture, route int) bool { return route == 1 }
 
-// Guards against a good version that is rolled back or not completed in time. missed is the
-// bound of such roll-outs.
+// Guards against a good version that is rolled back or not completed in time. The log
+// names the rate of false alarms.
 func TestGoodVersions(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -124,26 +124,27 @@
 		perSecond float64
 		badDay    bool
 		seeds     int
-		missed    int64
 	}{
-		{"a usual day", 8, 200, false, 1000, 0},
-		{"a usual day with little traffic", 8, 60, false, 300, 1},
-		{"a bad day", 8, 200, true, 1000, 15},
-		{"a bad day with little traffic", 8, 60, true, 300, 7},
-		{"a bad day with four instances of each version", 4, 100, true, 300, 5},
+		{"a usual day", 8, 200, false, 1000},
+		{"a usual day with little traffic", 8, 60, false, 300},
+		{"a bad day", 8, 200, true, 1000},
+		{"a bad day with little traffic", 8, 60, true, 300},
+		{"a bad day with four instances of each version", 4, 100, true, 300},
 	}
 	for _, c := range cases {
-		o := play(c.seeds, func(seed uint64) *fixture {
-			f := newFixture(seed, c.instances, 1, c.perSecond)
-			if c.badDay {
-				f.withBadDay()
+		t.Run(c.name, func(t *testing.T) {
+			o := play(c.seeds, func(seed uint64) *fixture {
+				f := newFixture(seed, c.instances, 1, c.perSecond)
+				if c.badDay {
+					f.withBadDay()
+				}
+				return f
+			})
+			t.Logf("false alarms %d of %d, %d unfinished, %d completed", o.rolledBack.Load(), c.seeds, o.unfinished.Load(), o.completed.Load())
+			if o.completed.Load() < int64(c.seeds) {
+				t.Error("not every version was completed in time")
 			}
-			return f
 		})
-		t.Logf("%s: false alarms %d of %d, %d unfinished, %d completed", c.name, o.rolledBack.Load(), c.seeds, o.unfinished.Load(), o.completed.Load())
-		if int64(c.seeds)-o.completed.Load() > c.missed {
-			t.Errorf("%s: more than %d not completed, see above", c.name, c.missed)
-		}
 	}
 }
 
