--- a/internal/state/apportioner/apportioner_test.go
+++ b/internal/state/apportioner/apportioner_test.go
@@ -171,24 +171,24 @@
 		}
 	})
 
-	// The bounds are those measured, rounded up. A daemon without an answer cannot know
-	// whether a request of an account with few requests is the usual one.
+	// Requests within the quota are not to be refused; while something fails, accounts
+	// within their quota are to be served at 0.95.
 	for _, c := range []struct {
 		name     string
 		schedule func(*fleet)
-		// small and large are the largest shares refused for quotas up to 25 and from 100.
-		small, large float64
+		// most is the largest share refused, of quotas up to 25 and of those from 100.
+		most float64
 	}{
-		{"in steady state", func(f *fleet) { f.run(20 * timer.Second) }, 0.001, 0.001},
+		{"in steady state", func(f *fleet) { f.run(20 * timer.Second) }, 0},
 		{"with 5 % of the datagrams lost", func(f *fleet) {
 			f.loss = 0.05
 			f.run(20 * timer.Second)
-		}, 0.002, 0.002},
+		}, 0.05},
 		{"in the 3 s in which a coordinator is replaced", func(f *fleet) {
 			f.leaders[1].dead = true
 			f.replace(2)
 			f.run(1700)
-		}, 0.45, 0.25},
+		}, 0.05},
 	} {
 		It("guards against refusals within the quota: "+c.name, func() {
 			refused, samples := map[bool]float64{}, map[bool]float64{}
@@ -198,8 +198,8 @@
 				samples[large]++
 			})
 			GinkgoWriter.Printf("refused %s: %.4f of small quotas, %.4f of large ones\n", c.name, refused[false]/samples[false], refused[true]/samples[true])
-			Expect(refused[false] / samples[false]).To(BeNumerically("<=", c.small))
-			Expect(refused[true] / samples[true]).To(BeNumerically("<=", c.large))
+			Expect(refused[false] / samples[false]).To(BeNumerically("<=", c.most))
+			Expect(refused[true] / samples[true]).To(BeNumerically("<=", c.most))
 		})
 	}
 })
