--- a/internal/assembler/rollouts_test.go
+++ b/internal/assembler/rollouts_test.go
@@ -316,7 +316,7 @@
 	if !strings.Contains(text.String(), "magnoliaknot_rollout_share_percent{service=\"s\"} 4") {
 		t.Errorf("metrics without the share:\n%s", text.String())
 	}
-	for _, line := range []string{`"roll-out: order seen"`, `"roll-out: progress stored"`, "target_runs=0", `"roll-out in force"`} {
+	for _, line := range []string{`"roll-out: order seen"`, `"roll-out: step in force"`, "target_runs=0", `"roll-out in force"`} {
 		if !d.logs.contains(line) {
 			t.Errorf("no log line with %s", line)
 		}
