--- a/internal/transport/dispatcher/observer.go
+++ b/internal/transport/dispatcher/observer.go
@@ -19,9 +19,11 @@
 const (
 	// maxRoutes bounds the routes that have metrics of their own; a configuration
 	// may have thousands.
-	maxRoutes  = 100
-	otherRoute = "other"
-	msPerSec   = 1000
+	maxRoutes = 100
+	// maxAccounts is the same for client accounts.
+	maxAccounts = 20
+	otherLabel  = "other"
+	msPerSec    = 1000
 )
 
 // observer logs and counts each decision about a request. It is safe for
@@ -30,25 +32,44 @@
 	logger *slog.Logger
 
 	mu     sync.Mutex
-	routes map[string]struct{}
+	routes labels
+	// accounts are the client accounts with metrics of their own.
+	accounts labels
 }
 
 func newObserver(logger *slog.Logger) *observer {
-	return &observer{logger: logger, routes: map[string]struct{}{}}
+	return &observer{logger: logger, routes: newLabels(maxRoutes), accounts: newLabels(maxAccounts)}
 }
 
-// routeLabel returns the label of a route in metrics.
-func (o *observer) routeLabel(route string) string {
+// labels are the names that have metrics of their own.
+type labels struct {
+	names map[string]struct{}
+	limit int
+}
+
+func newLabels(limit int) labels { return labels{names: map[string]struct{}{}, limit: limit} }
+
+// label returns the label of a name in metrics: the first ones keep theirs, the rest share
+// one.
+func (l *labels) label(name string) string {
+	if _, found := l.names[name]; found {
+		return name
+	}
+	if len(l.names) >= l.limit {
+		return otherLabel
+	}
+	l.names[name] = struct{}{}
+	return name
+}
+
+// labelsOf returns the labels of a request's route and client account in metrics.
+func (o *observer) labelsOf(e requestEnd) (route, account string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, found := o.routes[route]; found {
-		return route
+	if e.account != "" {
+		account = o.accounts.label(string(e.account))
 	}
-	if len(o.routes) >= maxRoutes {
-		return otherRoute
-	}
-	o.routes[route] = struct{}{}
-	return route
+	return o.routes.label(e.route), account
 }
 
 // requestEnd is how a caller's request ended.
@@ -75,7 +96,10 @@
 
 // requestEnded records the end of a caller's request.
 func (o *observer) requestEnded(e requestEnd) {
-	label := o.routeLabel(e.route)
+	label, account := o.labelsOf(e)
+	if account != "" {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_account_requests_total{account=%q,outcome=%q,reason=%q}`, account, e.outcome, e.reason)).Inc()
+	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_requests_total{route=%q,outcome=%q,reason=%q}`, label, e.outcome, e.reason)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliaknot_request_seconds{route=%q,outcome=%q}`, label, e.outcome)).
 		Update(float64(e.elapsed) / msPerSec)
