--- a/internal/transport/dispatcher/rollout.go
+++ b/internal/transport/dispatcher/rollout.go
@@ -56,11 +56,11 @@
 
 // Halt makes a backend server of the target version refuse attempts until the roll-out has
 // ended or another one begins.
-func (a *Admission) Halt(target identifier.ServiceVersion) {
+func (a *Admission) Halt() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	rollout, found := a.config.Configuration.Snapshot().Rollout(a.config.Member.Service)
-	if !found || rollout.Target != target {
+	if !found || rollout.Role(a.backend.Version) != router.TargetVersion {
 		return
 	}
 	a.followRollout(rollout)
@@ -68,7 +68,7 @@
 		return
 	}
 	a.rollout.halted = true
-	a.config.Logger.Warn("roll-out halted", "service", a.config.Member.Service, "target", target, "version", a.backend.Version)
+	a.config.Logger.Warn("roll-out halted", "service", a.config.Member.Service, "target", rollout.Target)
 	a.config.OnChange()
 }
 
@@ -110,7 +110,7 @@
 	if !found {
 		return comparer.Report{}, false
 	}
-	member, accepting := a.Member()
+	member, _ := a.Member()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.followRollout(rollout)
@@ -118,7 +118,7 @@
 	return comparer.Report{
 		Node: member.Node, Incarnation: member.Incarnation, Sequence: a.rollout.sequence,
 		Service: member.Service, Version: a.backend.Version, Target: rollout.Target, Phase: rollout.Phase,
-		Halted: a.rollout.halted, Accepting: accepting, Cold: member.Load.Cold, Slots: member.Slots,
+		Halted: a.rollout.halted, Accepting: a.accepting(), Cold: member.Load.Cold, Slots: member.Slots,
 		Running: member.Load.Running + member.Load.Queued, IdleForMs: a.config.Clock.Now() - a.rollout.lastStart,
 		Routes: a.rollout.collector.Routes(),
 	}, true
