Judge a version once more before its old instances stop

Now it is completed only after three reports of each instance and with evidence for it, or at the end of the time if there is none against it.

--- a/internal/state/promoter/decide.go
+++ b/internal/state/promoter/decide.go
@@ -55,6 +55,9 @@
 		if p.unserved(drainUntil, minDrain) {
 			return "no instance of the version accepts requests any more"
 		}
+		if p.suspect() && p.ended(drainUntil, minDrain) {
+			return "version is probably bad"
+		}
 	case router.RolloutCompleted, router.RolloutRolledBack:
 	}
 	return ""
@@ -129,11 +132,20 @@
 	return p.ended(until, known) && !p.fleet.accepts(p.order.Target)
 }
 
+// suspect reports whether the runs while draining are rather those of a bad version. It is
+// not completed then: its old instances would stop.
+func (p *Promoter) suspect() bool {
+	return p.verdict.StepRatio >= signRatio || p.verdict.Ratio >= holdRatio
+}
+
 // mayComplete reports whether the old instances may stop.
 func (p *Promoter) mayComplete() bool {
 	drainingFor := p.wall - p.schedule.begun
-	if drainingFor < idleBefore || !p.fleet.accepts(p.order.Target) {
+	if drainingFor < idleBefore || !p.fleet.accepts(p.order.Target) || p.suspect() {
 		return false
 	}
-	return p.ended(drainUntil, minDrain) || p.fleet.drained(p.order.Target, p.now-drainingFor)
+	// A version may be bad only with all requests, so their runs count once more. The first
+	// reports while draining hold runs that began before.
+	judged := p.verdict.Good && drainingFor >= drainReports*askInterval
+	return p.ended(drainUntil, minDrain) || judged && p.fleet.drained(p.order.Target, p.now-drainingFor)
 }
--- a/internal/state/promoter/rollout_test.go
+++ b/internal/state/promoter/rollout_test.go
@@ -108,6 +108,21 @@
 	}
 }
 
+// Guards against a version that is completed, so that its old instances stop, though it
+// fails once it gets all requests.
+func TestBadWhileDraining(t *testing.T) {
+	for _, perSecond := range []float64{60, 400} {
+		o := play(100, func(seed uint64) *fixture {
+			f := newFixture(seed, 8, 1, perSecond)
+			f.fault = failing(func(f *fixture, _ int) bool { return f.control.Rollouts[0].Phase == router.RolloutDraining })
+			return f
+		})
+		if o.completed.Load() > 0 {
+			t.Errorf("%.0f/s: %d of 100 completed, %d rolled back", perSecond, o.completed.Load(), o.rolledBack.Load())
+		}
+	}
+}
+
 func slow(*fixture, int) (failed, slow float64) { return usualFailures, 0.45 }
 
 func underLoad(f *fixture, _ int) bool { return f.control.Rollouts[0].Percent >= 25 }
--- a/internal/state/promoter/schedule.go
+++ b/internal/state/promoter/schedule.go
@@ -32,6 +32,9 @@
 	minStart   = 0.15
 	// minDrain is the shortest time of draining in that case.
 	minDrain = 0.06
+	// drainReports is the number of reports of each instance before a version that gets all
+	// requests is completed.
+	drainReports = 3
 	// signAt is the part of a step after which the sign of the evidence decides.
 	signAt = 0.6
 )
