--- a/internal/assembler/quotas.go
+++ b/internal/assembler/quotas.go
@@ -125,7 +125,7 @@
 		q.coordinator, q.coordinatorSince = next, now
 		q.apportioner = nil
 		q.throttler.SetEpoch(next.Epoch)
-		q.config.Logger.Info("coordinator of quotas", "node", next.Node, "epoch", next.Epoch, "own", own)
+		q.config.Logger.Info("coordinator of quotas", "coordinator", next.Node, "epoch", next.Epoch, "own", own)
 	}
 	switch {
 	case !own || !q.limited:
--- a/internal/state/throttler/message.go
+++ b/internal/state/throttler/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"math"
 
 	"github.com/zeebo/errs"
@@ -34,11 +33,7 @@
 type AccountKey uint32
 
 // KeyOf returns the key of an account.
-func KeyOf(name identifier.AccountName) AccountKey {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // A hash does not fail.
-	return AccountKey(h.Sum32())
-}
+func KeyOf(name identifier.AccountName) AccountKey { return AccountKey(name.Hash()) }
 
 // NodeKey is a 32-bit hash of the name of a node.
 type NodeKey uint32
