--- a/internal/transport/dispatcher/account.go
+++ b/internal/transport/dispatcher/account.go
@@ -55,9 +55,14 @@
 	return nil, route.Public
 }
 
+// limited reports whether a quota bounds the requests of an account.
+func (i *Ingress) limited(account *router.Account) bool {
+	return account != nil && account.Quota.PerSecond > 0 && i.config.Quotas != nil
+}
+
 // admitAccount applies the quota of an account. Requests without an account have none.
 func (i *Ingress) admitAccount(account *router.Account) (encoder.Refusal, bool) {
-	if account == nil || account.Quota.PerSecond <= 0 || i.config.Quotas == nil {
+	if !i.limited(account) {
 		return encoder.Refusal{}, true
 	}
 	admitted, retryAfter := i.config.Quotas.Admit(account.Name)
@@ -69,7 +74,7 @@
 
 // refundAccount returns a request that did not run to the quota of its account.
 func (i *Ingress) refundAccount(account *router.Account, refusal encoder.Refusal, answered bool) {
-	if account == nil || account.Quota.PerSecond <= 0 || i.config.Quotas == nil || answered || refusal.Outcome != encoder.NotRun {
+	if !i.limited(account) || answered || refusal.Outcome != encoder.NotRun {
 		return
 	}
 	i.config.Quotas.Refund(account.Name)
--- a/internal/transport/dispatcher/rollout.go
+++ b/internal/transport/dispatcher/rollout.go
@@ -30,16 +30,13 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.haltedFor(rollout) && rollout.Phase == router.RolloutRunning {
-		return false
-	}
-	return rollout.Admits(a.backend.Version, marked != "" && marked == a.backend.Version)
+	return !a.haltedFor(rollout) && rollout.Admits(a.backend.Version, marked != "" && marked == a.backend.Version)
 }
 
 // haltedFor reports whether the backend server has the target version of a roll-out that
-// was halted.
+// was halted and still runs. The caller holds the lock.
 func (a *Admission) haltedFor(rollout router.Rollout) bool {
-	return a.rollout.halted && a.rollout.target == rollout.Target && rollout.Role(a.backend.Version) == router.TargetVersion
+	return a.rollout.halted && rollout.Phase == router.RolloutRunning && a.rollout.target == rollout.Target && rollout.Role(a.backend.Version) == router.TargetVersion
 }
 
 // describeVersion adds the version to the description of this daemon during a roll-out of
@@ -50,8 +47,7 @@
 		return
 	}
 	m.Version = a.backend.Version
-	halted := a.haltedFor(rollout) && rollout.Phase == router.RolloutRunning
-	m.Accepting = m.Accepting && !halted && rollout.Admits(m.Version, true)
+	m.Accepting = m.Accepting && !a.haltedFor(rollout) && rollout.Admits(m.Version, true)
 }
 
 // Halt makes a backend server of the target version refuse attempts until the roll-out has
