--- /dev/null
+++ b/review/standin/instance.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Times of an instance.
+const (
+	heartbeatInterval = 1500 * time.Millisecond
+	// ackTimeout is the time within which a heartbeat has to be acknowledged.
+	ackTimeout = time.Second
+	workTime   = 20 * time.Millisecond
+)
+
+// slots is the number of requests that an instance runs at the same time.
+const slots = 18
+
+// arrival is a request that an instance has run.
+type arrival struct {
+	id, caller, tenant string
+	at                 time.Time
+}
+
+// instance simulates an application instance. It is safe for concurrent use.
+type instance struct {
+	id, service, zone, address, control string
+	record                              *record
+	born                                int64
+	server                              *http.Server
+	free                                chan struct{}
+	stopped                             chan struct{}
+
+	mu       sync.Mutex
+	state    string
+	left     bool // It has deregistered.
+	sequence uint64
+	running  int
+	waiting  int
+	arrivals []arrival
+}
+
+// startInstance starts an instance that announces itself until stopHeartbeats.
+func startInstance(v *vm, service, id string, r *record) (*instance, error) {
+	listener, err := net.Listen("tcp4", v.addresses.Backend)
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{
+		id: id, service: service, zone: v.zone, address: v.addresses.Backend, control: v.addresses.Control, record: r,
+		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), stopped: make(chan struct{}), state: "ready",
+	}
+	for range slots {
+		i.free <- struct{}{}
+	}
+	i.server = &http.Server{Handler: i}
+	go func() { _ = i.server.Serve(listener) }()
+	go i.announce()
+	return i, nil
+}
+
+func (i *instance) announce() {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-i.stopped:
+			return
+		default:
+			i.post("heartbeat", i.heartbeat())
+		}
+		select {
+		case <-i.stopped:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// stopHeartbeats ends the heartbeats; requests are still served.
+func (i *instance) stopHeartbeats() { close(i.stopped) }
+
+// heartbeat returns the next heartbeat.
+func (i *instance) heartbeat() map[string]any {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.sequence++
+	return map[string]any{
+		"Address": i.address, "born": i.born,
+		"Info":   map[string]any{"Service": i.service, "Version": "v1", "Zone": i.zone, "Concurrency": slots},
+		"Status": map[string]any{"State": i.state, "Sequence": i.sequence, "WarmupLeftS": 0},
+	}
+}
+
+// setDraining announces that the instance drains and returns the status of the
+// acknowledgement.
+func (i *instance) setDraining() int {
+	i.mu.Lock()
+	i.state = "draining"
+	i.mu.Unlock()
+	return i.post("heartbeat", i.heartbeat())
+}
+
+// deregister sends the last call of the instance and returns the status of its answer.
+func (i *instance) deregister() int {
+	i.mu.Lock()
+	i.left = true // Its health page says so from now on.
+	i.mu.Unlock()
+	return i.post("deregister", nil)
+}
+
+// post calls the daemon beside the instance. It returns 0 if there was no answer.
+func (i *instance) post(call string, body map[string]any) int {
+	return i.postTo(i.control, call, body)
+}
+
+func (i *instance) postTo(address, call string, body map[string]any) int {
+	data := []byte{}
+	if body != nil {
+		data, _ = json.Marshal(body) // The body holds only strings and numbers.
+	}
+	status := 0
+	client := &http.Client{Timeout: ackTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	url := fmt.Sprintf("http://%s/rpc?call=instances.%s&of=%s", address, call, i.id)
+	response, err := client.Post(url, "application/json", bytes.NewReader(data))
+	if err == nil {
+		status = response.StatusCode
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	i.record.printf("instance %s sent %s %s and got %d", i.id, call, data, status)
+	return status
+}
+
+// ServeHTTP answers a health check or runs a request.
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	header := w.Header()
+	header.Set("X-Instance-Id", i.id)
+	header.Set("Keep-Alive", "timeout=10")
+	i.mu.Lock()
+	header.Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d,100", i.running, i.waiting, slots))
+	leaving := i.left || i.state != "ready"
+	i.mu.Unlock()
+	if r.URL.Path == healthPath {
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	header.Set("X-Request-Id", id)
+	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != i.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		header.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	i.change(0, 1)
+	select {
+	case <-i.free:
+	case <-r.Context().Done():
+		i.change(0, -1)
+		return
+	}
+	i.change(1, -1)
+	i.began(arrival{id: id, caller: r.Header.Get("X-Caller-Service"), tenant: r.Header.Get("X-Tenant-Id"), at: time.Now()})
+	time.Sleep(workTime)
+	i.free <- struct{}{}
+	i.change(-1, 0)
+	header.Set("X-Response-Signature", "signed-"+i.id)
+	fmt.Fprintf(w, "%s %s by %s: %s", r.Method, r.URL.RequestURI(), i.id, body) // Fails if the caller has gone.
+}
+
+func (i *instance) change(running, waiting int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.running += running
+	i.waiting += waiting
+}
+
+func (i *instance) began(a arrival) {
+	i.mu.Lock()
+	i.arrivals = append(i.arrivals, a)
+	i.mu.Unlock()
+	i.record.printf("instance %s runs %s, caller service %q, tenant %q", i.id, a.id, a.caller, a.tenant)
+}
+
+// ran returns the requests that the instance has run.
+func (i *instance) ran() []arrival {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]arrival(nil), i.arrivals...)
+}
+
+func (i *instance) exit() { _ = i.server.Close() }
--- /dev/null
+++ b/review/standin/tenant.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// runTenant shows whether the instance gets the tenant of the client's key whatever the
+// client sends.
+func runTenant(e environment) error {
+	owner := tenant{name: "pulo780", key: "gxprymh2rrytapjsujqu"}
+	f, err := startFleet(e, smallFleet, configuration(1, owner))
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return err
+	}
+	time.Sleep(warmTime)
+	extra := []string{"Authorization: Bearer " + owner.key, "X-Tenant-Id: another"}
+	if e.trouble {
+		extra = append(extra, "Connection: keep-alive, X-Tenant-Id")
+	}
+	sent := map[string]bool{}
+	for n := range 20 {
+		id, _ := send(e.record, f.vms[2+n%2].addresses.Callers, "GET", pathRead+"1", extra...)
+		sent[id] = true
+	}
+	ran, wrong := 0, 0
+	for _, v := range f.vms {
+		for _, a := range v.instance.ran() {
+			if !sent[a.id] {
+				continue
+			}
+			ran++
+			if a.tenant != owner.name {
+				wrong++
+			}
+		}
+	}
+	e.record.printf("%d requests ran, %d of them without the tenant that holds the key", ran, wrong)
+	switch {
+	case ran == 0:
+		return fmt.Errorf("no request ran")
+	case wrong > 0:
+		return fmt.Errorf("%w: UNASKED: %d of %d requests ran without the tenant that holds the client's key", errBroken, wrong, ran)
+	}
+	return nil
+}
