--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -176,7 +177,7 @@
 		return
 	}
 	i.change(1, -1)
-	i.began(arrival{id: id, caller: r.Header.Get("X-Caller-Service"), tenant: r.Header.Get("X-Tenant-Id"), at: time.Now()})
+	i.began(arrival{id: id, caller: valueOf(r, "X-Caller-Service"), tenant: valueOf(r, "X-Tenant-Id"), at: time.Now()})
 	time.Sleep(workTime)
 	i.free <- struct{}{}
 	i.change(-1, 0)
@@ -184,6 +185,10 @@
 	fmt.Fprintf(w, "%s %s by %s: %s", r.Method, r.URL.RequestURI(), i.id, body) // Fails if the caller has gone.
 }
 
+// valueOf returns the value of a header. Several lines with one name are one value, with
+// commas between them (RFC 9110, section 5.3).
+func valueOf(r *http.Request, name string) string { return strings.Join(r.Header.Values(name), ", ") }
+
 func (i *instance) change(running, waiting int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
