--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -27,11 +27,23 @@
 	body      string
 }
 
-var requests atomic.Uint64
+var (
+	requests atomic.Uint64
+	// sendTimes holds the time at which each request was sent, by its id.
+	sendTimes sync.Map
+)
+
+// sentAt returns the time at which a request was sent.
+func sentAt(id string) time.Time {
+	sent, _ := sendTimes.Load(id)
+	at, _ := sent.(time.Time) // Zero if there is no such request.
+	return at
+}
 
 // send sends a request on a new connection of its own. Extra holds further header lines.
 func send(r *record, to, method, path string, extra ...string) (id string, a answered) {
 	id = fmt.Sprintf("%016x", requests.Add(1))
+	sendTimes.Store(id, time.Now())
 	r.printf("client sends %s %s %s to %s %s", id, method, path, to, strings.Join(extra, "; "))
 	defer func() { r.printf("client gets %s: %d", id, a.status) }()
 	lines := append([]string{
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -45,6 +46,10 @@
 	running  int
 	waiting  int
 	arrivals []arrival
+	coldEnd  time.Time
+	// crashAbove is the number of requests in a second above which it crashes while cold.
+	crashAbove int
+	crashed    bool
 }
 
 // startInstance starts an instance that announces itself until stopHeartbeats.
@@ -95,10 +100,22 @@
 	return map[string]any{
 		"Address": i.address, "born": i.born,
 		"Info":   map[string]any{"Service": i.service, "Version": "v1", "Zone": i.zone, "Concurrency": slots},
-		"Status": map[string]any{"State": i.state, "Sequence": i.sequence, "WarmupLeftS": 0},
+		"Status": map[string]any{"State": i.state, "Sequence": i.sequence, "WarmupLeftS": i.warmupLeft()},
 	}
 }
 
+// setCold makes the instance cold again.
+// It crashes if it gets more requests in a second than the given number while it is cold.
+func (i *instance) setCold(span time.Duration, crashAbove int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.coldEnd, i.crashAbove = time.Now().Add(span), crashAbove
+	i.record.printf("instance %s turns cold", i.id)
+}
+
+// warmupLeft returns the seconds until the instance is warm. The caller holds the lock.
+func (i *instance) warmupLeft() float64 { return max(0, time.Until(i.coldEnd).Seconds()) }
+
 // setDraining announces that the instance drains and returns the status of the
 // acknowledgement.
 func (i *instance) setDraining() int {
@@ -146,9 +163,12 @@
 	header.Set("Keep-Alive", "timeout=10")
 	i.mu.Lock()
 	header.Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d,100", i.running, i.waiting, slots))
-	leaving := i.left || i.state != "ready"
+	leaving, cold := i.left || i.state != "ready", i.warmupLeft()
 	i.mu.Unlock()
 	if r.URL.Path == healthPath {
+		if cold > 0 {
+			header.Set("X-Warmup-Remaining", strconv.FormatFloat(cold, 'f', 3, 64))
+		}
 		if leaving {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -199,10 +219,36 @@
 func (i *instance) began(a arrival) {
 	i.mu.Lock()
 	i.arrivals = append(i.arrivals, a)
+	crashes := !i.crashed && i.warmupLeft() > 0 && i.inLastSecond(a.at) > i.crashAbove
+	i.crashed = i.crashed || crashes
+	running := i.running
 	i.mu.Unlock()
+	if crashes {
+		i.record.printf("instance %s crashes with %d requests at work", i.id, running)
+		i.stopHeartbeats()
+		i.exit()
+	}
 	i.record.printf("instance %s runs %s, caller service %q, tenant %q", i.id, a.id, a.caller, a.tenant)
 }
 
+// inLastSecond returns the number of requests that began to run within the last second
+// while the instance was cold. The caller holds the lock.
+func (i *instance) inLastSecond(now time.Time) int {
+	count := 0
+	turned := i.coldEnd.Add(-warmupTime)
+	for n := len(i.arrivals) - 1; n >= 0 && now.Sub(i.arrivals[n].at) <= time.Second && i.arrivals[n].at.After(turned); n-- {
+		count++
+	}
+	return count
+}
+
+// hasCrashed reports whether the instance has crashed.
+func (i *instance) hasCrashed() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.crashed
+}
+
 // ran returns the requests that the instance has run.
 func (i *instance) ran() []arrival {
 	i.mu.Lock()
