--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -31,6 +31,8 @@
 	requests atomic.Uint64
 	// sendTimes holds the time at which each request was sent, by its id.
 	sendTimes sync.Map
+	// statuses holds the status of each answer, 0 for none, by the id of the request.
+	statuses sync.Map
 )
 
 // sentAt returns the time at which a request was sent.
@@ -45,7 +47,10 @@
 	id = fmt.Sprintf("%016x", requests.Add(1))
 	sendTimes.Store(id, time.Now())
 	r.printf("client sends %s %s %s to %s %s", id, method, path, to, strings.Join(extra, "; "))
-	defer func() { r.printf("client gets %s: %d", id, a.status) }()
+	defer func() {
+		statuses.Store(id, a.status)
+		r.printf("client gets %s: %d", id, a.status)
+	}()
 	lines := append([]string{
 		method + " " + path + " HTTP/1.1", "Host: " + host, "X-Request-Id: " + id,
 		fmt.Sprintf("X-Request-Deadline: %d", clientTimeout.Milliseconds()), "Content-Length: 0",
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -36,8 +36,12 @@
 	record                              *record
 	born                                int64
 	server                              *http.Server
-	free                                chan struct{}
-	stopped                             chan struct{}
+	// work is the time that a request takes.
+	work time.Duration
+	// onPoison is called when the request that crashes instances begins to run.
+	onPoison func(arrival)
+	free     chan struct{}
+	stopped  chan struct{}
 
 	mu       sync.Mutex
 	state    string
@@ -60,7 +64,7 @@
 	}
 	i := &instance{
 		id: id, service: service, zone: v.zone, address: v.addresses.Backend, control: v.addresses.Control, record: r,
-		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), stopped: make(chan struct{}), state: "ready",
+		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), stopped: make(chan struct{}), state: "ready", work: workTime,
 	}
 	for range slots {
 		i.free <- struct{}{}
@@ -198,7 +202,11 @@
 	}
 	i.change(1, -1)
 	i.began(arrival{id: id, caller: valueOf(r, "X-Caller-Service"), tenant: valueOf(r, "X-Tenant-Id"), at: time.Now()})
-	time.Sleep(workTime)
+	if r.URL.Path == poisonPath && i.onPoison != nil {
+		i.onPoison(i.ran()[len(i.ran())-1])
+		panic(http.ErrAbortHandler) // The connection ends without an answer.
+	}
+	time.Sleep(i.work)
 	i.free <- struct{}{}
 	i.change(-1, 0)
 	header.Set("X-Response-Signature", "signed-"+i.id)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,6 +41,7 @@
 	"foreign": runForeign,
 	"tenant":  runTenant,
 	"hang":    runHang,
+	"poison":  runPoison,
 	"cold":    runCold,
 }
 
