Call other components outside the locks of ingress and gossiper

Cause: Ingress.fleet held Ingress.mu while it asked the gossiper for the number of daemons, and Gossiper.receiveStatus held Gossiper.mu while it asked the ingress for the services in use, in fleets of more than 32. The first use of a service and a status of an unknown member at the same moment left both waiting.

Change: the retry window is computed before Ingress.mu is taken; the gossiper reads its table under the lock and asks its owner after it.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -437,10 +437,13 @@
 	now := g.config.Clock.Now()
 	g.fleet.observe(now, int(status.Fleet))
 	m, known := g.table.ObserveStatus(now, status.StatusUpdate)
-	wanted := !known && g.wanted(now, status)
+	var demand demand
+	if !known {
+		demand = g.demandFor(now, status)
+	}
 	g.mu.Unlock()
 	if !known {
-		if !wanted {
+		if !g.wanted(demand, status) {
 			return
 		}
 		g.traffic.countAnswer(1)
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -74,12 +74,27 @@
 	}
 }
 
-// wanted reports whether the report of a status message's sender is requested. The
-// lock must be held.
-func (g *Gossiper) wanted(now timer.Millis, status statusMessage) bool {
-	return g.table.Size() <= spreader.SmallFleet || status.Service == 0 || g.table.Knows(status.Incarnation) ||
-		status.Position.ahead(g.config.Position()) ||
-		spreader.Wanted(g.table.ActiveOf(now, status.Service), g.table.ActiveCount(now), g.config.Uses(status.Service))
+// demand is what the table says of the need for the report of an unknown member.
+type demand struct {
+	// sure says that the report is needed whatever services are in use.
+	sure bool
+	// ofService and inAll count the active members of its service and of all.
+	ofService, inAll int
+}
+
+// demandFor returns the demand for the report of a status message's sender. The caller
+// holds the lock.
+func (g *Gossiper) demandFor(now timer.Millis, status statusMessage) demand {
+	if g.table.Size() <= spreader.SmallFleet || status.Service == 0 || g.table.Knows(status.Incarnation) {
+		return demand{sure: true}
+	}
+	return demand{ofService: g.table.ActiveOf(now, status.Service), inAll: g.table.ActiveCount(now)}
+}
+
+// wanted reports whether the report of a status message's sender is requested. The caller
+// does not hold the lock: the answers of the owner may depend on other locks.
+func (g *Gossiper) wanted(d demand, status statusMessage) bool {
+	return d.sure || status.Position.ahead(g.config.Position()) || spreader.Wanted(d.ofService, d.inAll, g.config.Uses(status.Service))
 }
 
 // returnReport sends a daemon the report of another run of it, so that it can take a
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -246,13 +246,7 @@
 	f, found := i.fleets[service]
 	i.mu.RUnlock()
 	if !found {
-		i.mu.Lock()
-		if f, found = i.fleets[service]; !found {
-			f = newFleet(i.config.FailureDomain, i.retryWindow(), now)
-			i.fleets[service] = f
-			i.used[registrar.KeyOf(service)] = struct{}{}
-		}
-		i.mu.Unlock()
+		f = i.addFleet(service, newFleet(i.config.FailureDomain, i.retryWindow(), now))
 	}
 	snapshot := i.config.Configuration.Snapshot()
 	basis := fleetBasis{members: i.config.Members.Version(), position: snapshot.Position(), control: snapshot.Control.Position()}
@@ -266,6 +260,18 @@
 	return f
 }
 
+// addFleet adds the fleet of a service unless there is one, and returns the one in use.
+func (i *Ingress) addFleet(service identifier.ServiceName, added *fleet) *fleet {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if f, found := i.fleets[service]; found {
+		return f
+	}
+	i.fleets[service] = added
+	i.used[registrar.KeyOf(service)] = struct{}{}
+	return added
+}
+
 // candidates returns the instances that may get attempts.
 func (i *Ingress) candidates(service identifier.ServiceName) []registrar.Member {
 	snapshot := i.config.Configuration.Snapshot()
