Read the entry of an earlier run before a restarted daemon replaces it

Cause: join registered before it read the directory. The entry of the new run has the same key and replaced the one with the leave. A leave found there was announced with sequence 0 as well, so a late heartbeat that came first won against it, and a leave whose run had not been known lost the mark that its start is presumed.

Change: the entry of an earlier run is read before this daemon registers; a leave is stored before it is acknowledged, for up to 400 ms; it is recalled as the last word of its run; nothing starts on the backend server until the directory or a member was read, for up to 1 s; a daemon that knows of a leave returns it to a new run that does not. A daemon without an earlier entry reads the directory twice at its start.

The gossiper's Run also returned before its address was free.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/gossiper"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/comparer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
@@ -119,8 +120,8 @@
 	stopping             atomic.Bool
 	encodedConfiguration configurationCache
 	newerMembers         newerMembers
-	// reregister wakes join when this daemon's entry has changed.
-	reregister chan struct{}
+	// registration wakes join when this daemon's entry has changed.
+	registration *registration
 	// directoryLost says that the directory may lack entries, so that join reads it again.
 	directoryLost atomic.Bool
 }
@@ -132,7 +133,7 @@
 		config: config, clock: clock,
 		configuration: router.NewHolder(),
 		peers:         dispatcher.NewPeers(),
-		reregister:    make(chan struct{}, 1),
+		registration:  newRegistration(),
 	}
 	incarnation := identifier.NewIncarnation(clock.Wall())
 	d.incarnation.Store(uint64(incarnation))
@@ -143,8 +144,9 @@
 		},
 		Address: config.Addresses.Backend, Clock: timer.NewSteady(clock), Configuration: d.configuration, Dialect: config.Dialect, Bodies: config.Bodies,
 		LoadCheckTimeout: config.LoadCheck, OnChange: d.triggerBroadcast,
-		OnLeave:   d.requestRegistration, // Stored in the directory, so that the leave survives a restart of the daemon.
-		OnAttempt: d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
+		OnLeave:       d.registration.request, // Stored in the directory, so that the leave survives a restart of the daemon.
+		RecallTimeout: recallTimeout,
+		OnAttempt:     d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
 	d.quotas = d.newQuotas()
 	var err error
@@ -153,7 +155,7 @@
 		Self:     d.self,
 		Position: d.position, Ahead: d.scheduleFetch, Loaded: func(m registrar.Member) { d.ingress.RecordLoad(m) },
 		FailureDomain: config.FailureDomain, Uses: d.uses,
-		Superseded:  d.supersede,
+		OwnRun:      d.recall,
 		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
 		Used: d.quotas.used, Granted: d.quotas.granted,
 		Outcomes: d.countedOutcomes, Counted: func(r comparer.Report) { d.rollouts.Counted(r) },
@@ -236,17 +238,20 @@
 	return !d.stopping.Load() && d.configuration.Snapshot().Version > 0
 }
 
-// Announce applies an announcement of the backend server.
+// leaveTimeout bounds the wait for a leave to be stored. Backend servers wait a second for
+// an acknowledgement, and one without an acknowledgement is told to be late.
+const leaveTimeout = 400 * timer.Millis(1)
+
+// Announce applies an announcement of the backend server. A leave is stored in the
+// directory before Announce returns, so that a daemon that is killed after the
+// acknowledgement finds it at its next start. While the directory is away, only the other
+// daemons keep it.
 func (d *Daemon) Announce(b dispatcher.Backend) {
 	if !d.admission.Announce(b) {
 		d.config.Logger.Debug("outdated announcement ignored", "backend", b.ID, "sequence", b.Sequence)
+		return
 	}
-}
-
-// requestRegistration makes join register this daemon again. It does not block.
-func (d *Daemon) requestRegistration() {
-	select {
-	case d.reregister <- struct{}{}:
-	default:
+	if b.State == admitter.Draining {
+		d.registration.await(leaveTimeout)
 	}
 }
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
@@ -23,28 +24,64 @@
 	directoryJitter  = 400 * timer.Millis(1)
 )
 
-// join registers this daemon and reads the other members once, in this order, so that of
-// two daemons that join at the same time one finds the other. It registers again whenever
-// this daemon's entry has changed, and also reads again after the directory has lost
-// entries: a daemon that started since may not have found this one.
+// recallTimeout bounds the wait for what earlier runs of this daemon have stored. Nothing
+// starts on the backend server before: it may have left.
+const recallTimeout = timer.Second
+
+// join reads the directory, registers this daemon and registers it again whenever its
+// entry has changed.
 func (d *Daemon) join(ctx context.Context) {
-	membersKnown := false
+	var state joining
 	for ctx.Err() == nil {
-		if err := d.register(ctx); err != nil || !membersKnown && !d.readDirectory(ctx) {
-			if errors.Is(err, ErrSuperseded) {
-				d.readDirectory(ctx) // It holds the higher incarnation; see supersede.
+		if d.joinOnce(ctx, &state) != nil {
+			if d.fetchFromKnownMember() {
+				d.admission.EndRecall()
+				state.othersKnown = true
 			}
-			membersKnown = membersKnown || d.fetchFromKnownMember()
 			time.Sleep((directoryRetry + timer.Millis(rand.Int64N(int64(directoryJitter)))).Duration())
 			continue
 		}
-		membersKnown = true
 		select {
 		case <-ctx.Done():
-		case <-d.reregister:
-			membersKnown = !d.directoryLost.Swap(false)
+		case <-d.registration.wake:
+			state.othersKnown = !d.directoryLost.Swap(false)
+		}
+	}
+}
+
+// joining is how far a daemon has joined.
+type joining struct {
+	// recalled says that the entry of an earlier run was read, so that it may be replaced.
+	recalled bool
+	// othersKnown says that no daemon can have missed this one that this one has missed too.
+	othersKnown bool
+}
+
+// joinOnce does what is left to join. Without an earlier entry of this daemon the directory
+// is read again after the registration, so that of two daemons that join at the same time
+// one finds the other; after the directory has lost entries, a daemon that started since may
+// not have found this one.
+func (d *Daemon) joinOnce(ctx context.Context, state *joining) error {
+	if !state.recalled {
+		ownFound, err := d.readDirectory(ctx)
+		if err != nil {
+			return err
+		}
+		state.recalled, state.othersKnown = true, state.othersKnown || ownFound
+		d.admission.EndRecall()
+	}
+	if err := d.register(ctx); err != nil {
+		// The entry of the run with the higher incarnation is read next; see supersede.
+		state.recalled = !errors.Is(err, ErrSuperseded)
+		return err
+	}
+	if !state.othersKnown {
+		if _, err := d.readDirectory(ctx); err != nil {
+			return err
 		}
+		state.othersKnown = true
 	}
+	return nil
 }
 
 // restoredPerSecond is the number of registrations a second of all daemons after the
@@ -59,33 +96,38 @@
 	d.config.Logger.Info("directory has lost entries; registering again", "era", era, "delay_ms", delay)
 	time.AfterFunc(delay.Duration(), func() {
 		d.directoryLost.Store(true)
-		d.requestRegistration()
+		d.registration.request()
 	})
 }
 
 func (d *Daemon) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout.Duration())
 	defer cancel()
+	changes := d.registration.begin()
 	m, _ := d.admission.Member()
 	if err := d.config.Directory.Register(ctx, m); err != nil {
 		d.config.Logger.Warn("registration in the directory failed", "error", err.Error())
 		return err
 	}
+	d.registration.done(changes)
 	d.config.Logger.Info("registered", "leaving", m.Leaving, "backend", m.Backend)
 	return nil
 }
 
-func (d *Daemon) readDirectory(ctx context.Context) bool {
+// readDirectory adds the members in the directory. It reports whether this daemon, in this
+// run or an earlier one, is among them.
+func (d *Daemon) readDirectory(ctx context.Context) (ownFound bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout.Duration())
 	defer cancel()
 	members, err := d.config.Directory.Members(ctx)
 	if err != nil {
 		d.config.Logger.Warn("reading the members from the directory failed", "error", err.Error())
-		return false
+		return false, err
 	}
-	d.config.Logger.Info("members read from the directory", "members", len(members))
+	ownFound = slices.ContainsFunc(members, d.isOwn)
+	d.config.Logger.Info("members read from the directory", "members", len(members), "own", ownFound)
 	d.addMembers(members)
-	return true
+	return ownFound, nil
 }
 
 // fetchFromKnownMember fetches the members from a daemon that has reported to this
@@ -95,27 +137,43 @@
 	return len(members) > 0 && d.fetchMembers(members[rand.IntN(len(members))])
 }
 
-// addMembers adds members from the directory or from another daemon. If the entry of an
-// earlier run of this daemon is marked as leaving, that run has acknowledged the leave
-// of the backend server, so it is applied again.
+// addMembers adds members from the directory or from another daemon.
 func (d *Daemon) addMembers(members []registrar.Member) {
 	for _, m := range members {
-		d.supersede(m)
-		if m.Node == d.config.Node && uint64(m.Incarnation) < d.incarnation.Load() && m.Leaving {
-			d.Announce(dispatcher.Backend{
-				ID: m.Backend, Incarnation: m.BackendStart, Slots: m.Slots, State: admitter.Draining,
-			})
-		}
+		d.recall(m)
 	}
 	d.gossiper.AddMembers(members)
 }
 
+// isOwn reports whether an entry is that of a run of this daemon. A daemon on another VM
+// with the same name is not one.
+func (d *Daemon) isOwn(m registrar.Member) bool {
+	return m.Node == d.config.Node && m.Peer == d.config.Addresses.Peers
+}
+
+// recall takes over what an earlier run of this daemon has recorded: a higher incarnation,
+// and the leave of the backend server that it has acknowledged.
+func (d *Daemon) recall(m registrar.Member) {
+	if !d.isOwn(m) {
+		return
+	}
+	d.supersede(m)
+	if !m.Leaving || uint64(m.Incarnation) >= d.incarnation.Load() {
+		return
+	}
+	leave := dispatcher.Backend{
+		ID: m.Backend, Incarnation: m.BackendStart, Presumed: m.Presumed, Sequence: math.MaxUint64, Slots: m.Slots, State: admitter.Draining,
+	}
+	if d.admission.Announce(leave) {
+		d.config.Logger.Info("leave that an earlier run has acknowledged applies", "backend", m.Backend, "start", m.BackendStart)
+	}
+}
+
 // supersede raises this daemon's incarnation above that of an earlier run of it. The
 // earlier run has a higher one if the time of day was set back in between; without the
-// change, the store and the other daemons would ignore this one. A daemon on another
-// VM with the same name is not an earlier run.
+// change, the store and the other daemons would ignore this one.
 func (d *Daemon) supersede(m registrar.Member) {
-	if m.Node != d.config.Node || m.Peer != d.config.Addresses.Peers || m.Incarnation == math.MaxUint64 {
+	if m.Incarnation == math.MaxUint64 {
 		return
 	}
 	for {
@@ -130,7 +188,7 @@
 		d.config.Logger.Warn("an earlier run has a higher incarnation; the time of day was probably set back", "incarnation", next, "before", own)
 		d.admission.SetIncarnation(next)
 		d.ingress.SetIncarnation(next)
-		d.requestRegistration()
+		d.registration.request()
 		d.triggerBroadcast()
 		return
 	}
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -80,8 +80,8 @@
 	FailureDomain identifier.FailureDomain
 	// Uses reports whether this daemon sends attempts to a service.
 	Uses func(registrar.ServiceKey) bool
-	// Superseded is called with a report of another run of this daemon.
-	Superseded func(registrar.Member)
+	// OwnRun is called with the last report of another run of this daemon.
+	OwnRun func(registrar.Member)
 	// Quarantined is called with entries of members of the same service and returns
 	// those that were new, which are passed on.
 	Quarantined func([]quarantiner.Entry) []quarantiner.Entry
@@ -153,9 +153,12 @@
 
 // Run exchanges datagrams until ctx is done, then closes the socket.
 func (g *Gossiper) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() }) // Ends read.
-	defer stop()
-	defer g.conn.Close()
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = g.conn.Close() // Ends read. A second Close would not wait until the address is free.
+	})
+	defer func() { <-closed }()
 	go g.read()
 	ticker := time.NewTimer(0)
 	defer ticker.Stop()
@@ -464,11 +467,12 @@
 func (g *Gossiper) receiveReport(report Report) {
 	m := report.Member
 	g.mu.Lock()
+	previous, _ := g.table.Lookup(m.Node)
 	change := g.table.Observe(g.config.Clock.Now(), m)
 	known, found := g.table.Lookup(m.Node)
 	g.mu.Unlock()
 	if m.Node == g.self {
-		g.config.Superseded(m)
+		g.config.OwnRun(m)
 		return
 	}
 	switch change {
@@ -480,6 +484,9 @@
 	case registrar.Joined, registrar.Restarted:
 		g.config.Logger.Info("member joined", "member", m.Node, "service", m.Service, "incarnation", m.Incarnation)
 		g.sendReport(m)
+		if previous.Leaving && !m.Leaving && previous.Peer == m.Peer {
+			g.returnReport(m.Report, previous) // The new run may not know of the leave.
+		}
 	case registrar.MemberChanged:
 		g.config.Logger.Info("member changed", "member", m.Node, "accepting", m.Accepting, "slots", m.Slots)
 	case registrar.LoadChanged:
--- a/internal/coordination/gossiper/gossiper_test.go
+++ b/internal/coordination/gossiper/gossiper_test.go
@@ -58,7 +58,7 @@
 			}
 		},
 		Position: func() Position { return Position{} }, Ahead: func(registrar.Member) {}, Loaded: func(registrar.Member) {},
-		Uses: func(registrar.ServiceKey) bool { return true }, Superseded: func(m registrar.Member) { d.superseded <- m },
+		Uses: func(registrar.ServiceKey) bool { return true }, OwnRun: func(m registrar.Member) { d.superseded <- m },
 	}
 	change(&config)
 	g, err := Listen(config)
--- a/internal/lockchecker/locks_test.go
+++ b/internal/lockchecker/locks_test.go
@@ -251,4 +251,3 @@
 	}
 	return slices.Sorted(maps.Keys(all))
 }
-
--- a/internal/state/orderer/orderer.go
+++ b/internal/state/orderer/orderer.go
@@ -34,6 +34,8 @@
 	// Start is the start of the run in Unix ms by the clock of the VM. Zero in the
 	// announcement of a leave means that it does not say.
 	Start identifier.Incarnation
+	// Presumed says that Start is the time of the leave of a run whose start is not known.
+	Presumed bool
 	// Sequence orders the announcements of one run.
 	Sequence uint64
 	Leaving  bool
@@ -46,10 +48,7 @@
 type Orderer struct {
 	known Announcement
 	run   Run
-	// presumed says that the start of the known run is the time of its leave; it
-	// began before that.
-	presumed bool
-	rival    rival
+	rival rival
 	// found is the backend server that answered the last health check.
 	found identifier.BackendID
 }
@@ -72,6 +71,9 @@
 // Start returns the start of the current run in Unix ms.
 func (o *Orderer) Start() identifier.Incarnation { return o.known.Start }
 
+// Presumed reports whether Start is the time of the leave of a run whose start is not known.
+func (o *Orderer) Presumed() bool { return o.known.Presumed }
+
 // Found records that a backend server answered the health check.
 func (o *Orderer) Found(backend identifier.BackendID) { o.found = backend }
 
@@ -90,7 +92,7 @@
 	if a.Backend != o.known.Backend {
 		o.found = "" // The last health check was answered before the change.
 	}
-	o.known, o.presumed, o.rival = a, false, rival{}
+	o.known, o.rival = a, rival{}
 	return o.run, true
 }
 
@@ -100,10 +102,10 @@
 	case !o.Known():
 		// A late announcement of that run may still arrive, and one of a later run at
 		// any time.
-		a.Start = identifier.Incarnation(wall)
-		o.known, o.presumed = a, true
+		a.Start, a.Presumed = identifier.Incarnation(wall), true
+		o.known = a
 		o.run++
-	case o.known.Backend != a.Backend || o.presumed:
+	case o.known.Backend != a.Backend || o.known.Presumed:
 		return o.run, false // From an earlier backend server on this VM, or repeated.
 	default:
 		a.Start = o.known.Start
@@ -119,7 +121,7 @@
 func (o *Orderer) outdated(a Announcement) bool {
 	known := o.known
 	switch {
-	case o.presumed && known.Backend != a.Backend:
+	case o.known.Presumed && known.Backend != a.Backend:
 		return false
 	case a.Start != known.Start:
 		return a.Start < known.Start
@@ -133,7 +135,7 @@
 	switch {
 	case a.Start == o.known.Start && a.Backend == o.known.Backend, a.Leaving:
 		return false
-	case o.presumed:
+	case o.known.Presumed:
 		return false // It may be the run that left.
 	case a.Backend == o.found && a.Backend != o.known.Backend:
 		return true
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -61,6 +61,9 @@
 	// Backend and BackendStart identify the run of the backend server.
 	Backend      identifier.BackendID   `json:"backend,omitempty"`
 	BackendStart identifier.Incarnation `json:"backend_start,omitempty"`
+	// Presumed says that BackendStart is the time of the leave of a run whose start is not
+	// known.
+	Presumed bool `json:"presumed,omitempty"`
 	// Leaving reports whether the backend server takes no more work in this run.
 	Leaving bool `json:"leaving,omitempty"`
 	// Accepting reports whether admission accepts attempts.
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -38,6 +38,9 @@
 	// Incarnation is the start time in Unix ms. Zero in an announcement of a leave
 	// means that the announcement does not say.
 	Incarnation identifier.Incarnation
+	// Presumed says that Incarnation is the time of the leave of a run whose start is not
+	// known.
+	Presumed bool
 	// Sequence orders the announcements of one incarnation.
 	Sequence uint64
 	Slots    identifier.Slots
@@ -59,6 +62,8 @@
 	// LoadCheckTimeout is how long a start waits for a health check if the known load
 	// is too old.
 	LoadCheckTimeout timer.Millis
+	// RecallTimeout bounds the wait for EndRecall before the first start. Zero means none.
+	RecallTimeout timer.Millis
 	// OnChange is called when the load or state has changed. It must not block.
 	OnChange func()
 	// OnLeave is called when the backend server has said that it leaves, once for each
@@ -90,8 +95,11 @@
 	order *orderer.Orderer
 	// down says that the backend server cannot be reached or that another one has its
 	// address. The next announcement or good health answer resets it.
-	down      bool
-	stopping  bool
+	down     bool
+	stopping bool
+	// recallEnd is until when nothing starts, since an earlier run of this daemon may know
+	// that the backend server leaves.
+	recallEnd timer.Millis
 	coldStart coldStart
 	load      BackendLoad
 	loadAt    timer.Millis
@@ -120,9 +128,27 @@
 		estimator:   estimator.New(),
 		order:       orderer.New(),
 		runs:        map[identifier.AttemptID]*Run{},
+		recallEnd:   recallEnd(config),
 	}
 }
 
+func recallEnd(config AdmissionConfig) timer.Millis {
+	if config.RecallTimeout <= 0 {
+		return 0
+	}
+	return config.Clock.Now() + config.RecallTimeout
+}
+
+// EndRecall says that what earlier runs of this daemon knew of the backend server has been
+// announced, so that attempts may start.
+func (a *Admission) EndRecall() {
+	a.mu.Lock()
+	a.recallEnd = 0
+	a.applyLimits(a.config.Clock.Now())
+	a.mu.Unlock()
+	a.config.OnChange()
+}
+
 // backendMaxIdle bounds the idle connections to the backend server.
 const backendMaxIdle = 64
 
@@ -342,7 +368,7 @@
 	slots := int(a.backend.Slots)
 	a.limit = a.estimator.Limit(now, slots)
 	a.step(now, admitter.Limits{
-		Version: snapshot.Version, MaxInFlight: a.notices.maxRuns(now, a.healthPath(), a.limit), MaxQueue: estimator.QueuePerSlot * slots,
+		Version: snapshot.Version, MaxInFlight: a.maxRuns(now), MaxQueue: estimator.QueuePerSlot * slots,
 		// A cold backend server is limited by its start rate, not by its slots.
 		ColdLimit: slots + 1, RampCompletions: 1, MaxTimeout: maxRunTime,
 	})
@@ -372,12 +398,12 @@
 	now, known := a.config.Clock.Now(), a.backend
 	unknown := !a.order.Known() && b.Incarnation == 0
 	run, current := a.order.Accept(now, a.config.Clock.Wall(), orderer.Announcement{
-		Backend: b.ID, Start: b.Incarnation, Sequence: b.Sequence, Leaving: b.State == admitter.Draining,
+		Backend: b.ID, Start: b.Incarnation, Presumed: b.Presumed, Sequence: b.Sequence, Leaving: b.State == admitter.Draining,
 	})
 	if !current {
 		return false
 	}
-	b.Incarnation = a.order.Start()
+	b.Incarnation, b.Presumed = a.order.Start(), a.order.Presumed()
 	if b.Slots == 0 && known.ID == b.ID {
 		b.Slots = known.Slots // A leave does not report slots.
 	}
@@ -436,7 +462,7 @@
 	a.revision++
 	m.Revision = a.revision
 	m.Slots = a.backend.Slots
-	m.Backend, m.BackendStart = a.backend.ID, a.backend.Incarnation
+	m.Backend, m.BackendStart, m.Presumed = a.backend.ID, a.backend.Incarnation, a.backend.Presumed
 	m.Leaving = a.backend.State == admitter.Draining
 	m.Load = a.currentLoad()
 	m.Accepting = a.accepting()
@@ -448,7 +474,7 @@
 // caller holds the lock.
 func (a *Admission) accepting() bool {
 	status := a.admitter.Status()
-	return status.Closed == "" && !status.Paused && !a.down && !a.stopping
+	return status.Closed == "" && !status.Paused && !a.down && !a.stopping && a.config.Clock.Now() >= a.recallEnd
 }
 
 // SetIncarnation changes the incarnation of this daemon.
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -44,7 +44,7 @@
 	now := a.config.Clock.Now()
 	a.step(now, admitter.Tick{})
 	a.setStartRateLimit(now)
-	if !a.notices.known {
+	if !a.notices.known || a.recallEnd > 0 {
 		a.applyLimits(now)
 	}
 	due := a.checkDue(now)
--- a/internal/transport/dispatcher/notice.go
+++ b/internal/transport/dispatcher/notice.go
@@ -56,6 +56,14 @@
 	return min(1, limit)
 }
 
+// maxRuns bounds the concurrent runs. The caller holds the lock.
+func (a *Admission) maxRuns(now timer.Millis) int {
+	if now < a.recallEnd {
+		return 0
+	}
+	return a.notices.maxRuns(now, a.healthPath(), a.limit)
+}
+
 // applyNotice applies the notice in an answer to an attempt that was sent to a run of the
 // backend server.
 func (a *Admission) applyNotice(run orderer.Run, header *fasthttp.ResponseHeader) {
