Keep quarantined requests known over restarts of daemons

Cause: a quarantine entry was sent in the three reports after the crash and never again, and was kept in memory only. The same cause on related paths: a daemon that was cut off for these three reports, and a restart of all daemons of a service.

Change: a daemon that reports again after a start, a restart or 1.5 s of silence is sent the entries in force by the members of its service, quarantines first; entries that restrict requests are stored with the description of the daemon that saw the crash, in one record, and read before anything starts on the backend server after a restart. Quarantiner.Entries, which had no caller, gives way to InForce.

TestQuarantineSurvivesKills (7 cases: one daemon or all, once or three times, with and without the directory, suspects too) fails before the change and passes after it; TestReturnedMembersGetEntries and TestTakeReturned are new with it.

TestQuarantineEntriesArePassedOn was listed as failing once: it compared two counts between which a repeat of the first entry could arrive.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/gossiper"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/comparer"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
@@ -49,12 +50,20 @@
 // of this daemon is stored.
 var ErrSuperseded = errors.New("a run of this daemon with a higher incarnation is registered")
 
+// Description is what a daemon stores of itself: it has to be known after all daemons were
+// killed.
+type Description struct {
+	registrar.Member
+	// Entries restrict requests that crash backend servers of the service.
+	Entries []quarantiner.Entry `json:"entries,omitempty"`
+}
+
 // Directory stores the descriptions of daemons so that they find each other.
 type Directory interface {
 	// Register stores the description of this daemon. It may return ErrSuperseded.
-	Register(ctx context.Context, m registrar.Member) error
+	Register(ctx context.Context, own Description) error
 	// Members returns the stored descriptions, including that of this daemon.
-	Members(ctx context.Context) ([]registrar.Member, error)
+	Members(ctx context.Context) ([]Description, error)
 }
 
 // Addresses that a daemon listens on.
@@ -156,7 +165,7 @@
 		Position: d.position, Ahead: d.scheduleFetch, Loaded: func(m registrar.Member) { d.ingress.RecordLoad(m) },
 		FailureDomain: config.FailureDomain, Uses: d.uses,
 		OwnRun:      d.recall,
-		Quarantined: d.admission.AddQuarantineEntries, Logger: config.Logger,
+		Quarantined: d.admission.AddQuarantineEntries, InForce: d.entriesInForce, Logger: config.Logger,
 		Used: d.quotas.used, Granted: d.quotas.granted,
 		Outcomes: d.countedOutcomes, Counted: func(r comparer.Report) { d.rollouts.Counted(r) },
 	})
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -105,12 +105,13 @@
 	defer cancel()
 	changes := d.registration.begin()
 	m, _ := d.admission.Member()
-	if err := d.config.Directory.Register(ctx, m); err != nil {
+	own := Description{Member: m, Entries: d.entriesInForce()}
+	if err := d.config.Directory.Register(ctx, own); err != nil {
 		d.config.Logger.Warn("registration in the directory failed", "error", err.Error())
 		return err
 	}
 	d.registration.done(changes)
-	d.config.Logger.Info("registered", "leaving", m.Leaving, "backend", m.Backend)
+	d.config.Logger.Info("registered", "leaving", m.Leaving, "backend", m.Backend, "entries", len(own.Entries))
 	return nil
 }
 
@@ -119,13 +120,22 @@
 func (d *Daemon) readDirectory(ctx context.Context) (ownFound bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout.Duration())
 	defer cancel()
-	members, err := d.config.Directory.Members(ctx)
+	descriptions, err := d.config.Directory.Members(ctx)
 	if err != nil {
 		d.config.Logger.Warn("reading the members from the directory failed", "error", err.Error())
 		return false, err
 	}
+	members := make([]registrar.Member, 0, len(descriptions))
+	var entries []quarantiner.Entry
+	for _, description := range descriptions {
+		members = append(members, description.Member)
+		if description.Service == d.config.Service {
+			entries = append(entries, description.Entries...)
+		}
+	}
 	ownFound = slices.ContainsFunc(members, d.isOwn)
-	d.config.Logger.Info("members read from the directory", "members", len(members), "own", ownFound)
+	added := d.admission.AddQuarantineEntries(entries)
+	d.config.Logger.Info("members read from the directory", "members", len(members), "own", ownFound, "entries", len(entries), "entries_added", len(added))
 	d.addMembers(members)
 	return ownFound, nil
 }
@@ -196,6 +206,18 @@
 
 func (d *Daemon) recordAttempt(sender identifier.Incarnation) { d.gossiper.RecordAttemptFrom(sender) }
 
+// maxStoredEntries bounds the entries in a daemon's description and what a member that may
+// have missed some is sent.
+const maxStoredEntries = 20
+
+func (d *Daemon) entriesInForce() []quarantiner.Entry {
+	return d.admission.QuarantineEntries(maxStoredEntries)
+}
+
+// broadcastQuarantine sends entries to other daemons and stores those that restrict requests.
 func (d *Daemon) broadcastQuarantine(entries []quarantiner.Entry) {
 	d.gossiper.BroadcastQuarantine(entries)
+	if slices.ContainsFunc(entries, func(e quarantiner.Entry) bool { return e.Kind != quarantiner.Cleared }) {
+		d.registration.request()
+	}
 }
--- a/internal/assembler/membership_test.go
+++ b/internal/assembler/membership_test.go
@@ -13,11 +13,12 @@
 	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
-	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
+	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
 // memorySource is a source that never provides a configuration.
@@ -57,7 +58,7 @@
 	d.epochs[node]++
 }
 
-func (d *memoryDirectory) Register(_ context.Context, m registrar.Member) error {
+func (d *memoryDirectory) Register(_ context.Context, m Description) error {
 	time.Sleep(d.delay)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,15 +73,15 @@
 	return err
 }
 
-func (d *memoryDirectory) Members(context.Context) ([]registrar.Member, error) {
+func (d *memoryDirectory) Members(context.Context) ([]Description, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.away {
 		return nil, Error.New("away")
 	}
-	var members []registrar.Member
+	var members []Description
 	for _, data := range d.entries {
-		var m registrar.Member
+		var m Description
 		if err := json.Unmarshal(data, &m); err != nil {
 			return nil, err
 		}
@@ -250,3 +251,86 @@
 		t.Error("a late heartbeat has brought a backend server back that had left")
 	}
 }
+
+// storedBy reports whether the stored entry is that of a daemon.
+func (v *testVM) storedBy(d *Daemon) bool {
+	v.directory.mu.Lock()
+	defer v.directory.mu.Unlock()
+	return uint64(v.directory.epochs[v.node]) == d.incarnation.Load()
+}
+
+// crash makes a daemon learn that a request has crashed its backend server.
+func crash(d *Daemon, entry quarantiner.Entry) {
+	d.admission.AddQuarantineEntries([]quarantiner.Entry{entry})
+	d.broadcastQuarantine([]quarantiner.Entry{entry})
+}
+
+// knows reports whether a daemon has an entry, which it has afterwards.
+func knows(d *Daemon, entry quarantiner.Entry) bool {
+	return len(d.admission.AddQuarantineEntries([]quarantiner.Entry{entry})) == 0
+}
+
+// Guards against a request that crashes backend servers again after a restart of the daemon
+// beside one: of one daemon or all, killed once or several times, with and without the
+// directory.
+func TestQuarantineSurvivesKills(t *testing.T) {
+	cases := []struct {
+		name string
+		kind quarantiner.Kind
+		// all says that every daemon is killed, kills how often, away that the directory
+		// cannot be reached meanwhile.
+		all   bool
+		kills int
+		away  bool
+	}{
+		{"the daemon that saw the crash", quarantiner.Quarantined, false, 1, false},
+		{"the daemon that saw the crash, three times", quarantiner.Quarantined, false, 3, false},
+		{"the daemon that saw the crash, directory away", quarantiner.Quarantined, false, 1, true},
+		{"a suspect, directory away", quarantiner.Suspect, false, 1, true},
+		{"all", quarantiner.Quarantined, true, 1, false},
+		{"all, three times", quarantiner.Quarantined, true, 3, false},
+		{"all, a suspect", quarantiner.Suspect, true, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			directory := newMemoryDirectory()
+			vms := []*testVM{newTestVM(t, "vm-1", directory), newTestVM(t, "vm-2", directory)}
+			daemons, kills := make([]*Daemon, len(vms)), make([]func(), len(vms))
+			for i, v := range vms {
+				daemons[i], kills[i] = v.start()
+				awaitTrue(t, "stored", func() bool { return v.storedBy(daemons[i]) })
+			}
+			awaitTrue(t, "known to each other", func() bool {
+				return len(daemons[0].gossiper.Members()) == 1 && len(daemons[1].gossiper.Members()) == 1
+			})
+			entry := quarantiner.Entry{
+				Fingerprint: identifier.NewFingerprint("GET", "/poison", nil), Kind: c.kind, Expires: daemons[0].clock.Wall() + timer.Minute,
+			}
+			crash(daemons[0], entry)
+			time.Sleep(reportsPassed.Duration())
+			directory.setAway(c.away)
+			for range c.kills {
+				for i, v := range vms {
+					if i > 0 && !c.all {
+						continue
+					}
+					kills[i]()
+					daemons[i], kills[i] = v.start()
+				}
+				for i, v := range vms {
+					awaitTrue(t, "joined", func() bool { return c.away || v.storedBy(daemons[i]) })
+				}
+			}
+			time.Sleep(reportsPassed.Duration())
+			for i, d := range daemons {
+				if !knows(d, entry) {
+					t.Errorf("the daemon of %s does not know the entry", vms[i].node)
+				}
+			}
+		})
+	}
+}
+
+// reportsPassed is a time in which daemons that know each other have exchanged reports.
+const reportsPassed = 1500 * timer.Millis(1)
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -85,6 +85,9 @@
 	// Quarantined is called with entries of members of the same service and returns
 	// those that were new, which are passed on.
 	Quarantined func([]quarantiner.Entry) []quarantiner.Entry
+	// InForce returns the entries of this daemon that members which may have missed some are
+	// sent, the most important ones first.
+	InForce func() []quarantiner.Entry
 	// Outcomes returns what this daemon's backend server has counted in the roll-out of a
 	// service, or false if there is nothing to report. Halt says that the version of this
 	// backend server is to get no more requests. It may be nil.
@@ -440,6 +443,7 @@
 	now := g.config.Clock.Now()
 	g.fleet.observe(now, int(status.Fleet))
 	m, known := g.table.ObserveStatus(now, status.StatusUpdate)
+	returned := g.table.TakeReturned()
 	var demand demand
 	if !known {
 		demand = g.demandFor(now, status)
@@ -453,6 +457,7 @@
 		_, _ = g.conn.WriteToUDPAddrPort([]byte{kindReportRequest}, from) // The next status message repeats a lost request.
 		return
 	}
+	g.bringUpToDate(returned)
 	g.config.Loaded(m)
 	g.checkPosition(status.Position, m)
 }
@@ -470,6 +475,7 @@
 	previous, _ := g.table.Lookup(m.Node)
 	change := g.table.Observe(g.config.Clock.Now(), m)
 	known, found := g.table.Lookup(m.Node)
+	returned := g.table.TakeReturned()
 	g.mu.Unlock()
 	if m.Node == g.self {
 		g.config.OwnRun(m)
@@ -491,6 +497,7 @@
 		g.config.Logger.Info("member changed", "member", m.Node, "accepting", m.Accepting, "slots", m.Slots)
 	case registrar.LoadChanged:
 	}
+	g.bringUpToDate(returned)
 	g.config.Loaded(m)
 	if len(report.Entries) > 0 && m.Service == g.config.Self().Service {
 		if added := g.config.Quarantined(report.Entries); len(added) > 0 {
--- a/internal/coordination/gossiper/gossiper_test.go
+++ b/internal/coordination/gossiper/gossiper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,6 +60,7 @@
 		},
 		Position: func() Position { return Position{} }, Ahead: func(registrar.Member) {}, Loaded: func(registrar.Member) {},
 		Uses: func(registrar.ServiceKey) bool { return true }, OwnRun: func(m registrar.Member) { d.superseded <- m },
+		InForce: func() []quarantiner.Entry { return nil },
 	}
 	change(&config)
 	g, err := Listen(config)
@@ -151,12 +153,16 @@
 // sender knows, against entries of another service, and against passing one on forever.
 func TestQuarantineEntriesArePassedOn(t *testing.T) {
 	a, b, c := newDaemon(t, "a", 1), newDaemon(t, "b", 2), newDaemon(t, "c", 3)
+	foreign := quarantiner.Entry{Kind: quarantiner.Suspect, Expires: 2}
 	received := map[*daemon]*atomic.Int64{}
 	for _, d := range []*daemon{a, b, c} {
 		count := &atomic.Int64{}
 		received[d] = count
 		known := false
 		d.config.Quarantined = func(entries []quarantiner.Entry) []quarantiner.Entry {
+			if slices.Contains(entries, foreign) {
+				t.Error("an entry of another service was taken")
+			}
 			count.Add(1)
 			if known {
 				return nil
@@ -175,11 +181,7 @@
 	eventually(t, "c has the entry", func() bool { return received[c].Load() > 0 })
 	other := a.own()
 	other.Node, other.Incarnation, other.Service = "x", 9, "other"
-	before := received[b].Load()
-	b.receiveReport(Report{Member: other, Entries: []quarantiner.Entry{{}}})
-	if received[b].Load() != before {
-		t.Error("an entry of another service was taken")
-	}
+	b.receiveReport(Report{Member: other, Entries: []quarantiner.Entry{foreign}})
 	time.Sleep(3 * broadcastInterval.Duration())
 	for d, count := range received {
 		if n := count.Load(); n > 3*reportsPerEntry {
@@ -187,3 +189,33 @@
 		}
 	}
 }
+
+// Guards against a daemon that was away while a quarantine entry was sent and never gets it:
+// one that starts, restarts or was cut off for a while.
+func TestReturnedMembersGetEntries(t *testing.T) {
+	entry := quarantiner.Entry{Kind: quarantiner.Quarantined, Expires: 1}
+	var received atomic.Int64
+	a := newConfiguredDaemon(t, "a", 1, func(c *Config) {
+		c.Quarantined = func(entries []quarantiner.Entry) []quarantiner.Entry {
+			if slices.Contains(entries, entry) {
+				received.Add(1)
+			}
+			return nil
+		}
+	})
+	b := newConfiguredDaemon(t, "b", 2, func(c *Config) {
+		c.InForce = func() []quarantiner.Entry { return []quarantiner.Entry{entry} }
+	})
+	a.AddMembers([]registrar.Member{b.own()})
+	eventually(t, "a daemon that starts has the entry", func() bool { return received.Load() > 0 })
+	time.Sleep(broadcastInterval.Duration())
+	before := received.Load()
+	time.Sleep(3 * broadcastInterval.Duration())
+	if received.Load() != before {
+		t.Error("the entry is sent again and again")
+	}
+	restarted := a.own()
+	restarted.Incarnation, restarted.Revision = 5, 1
+	b.receiveReport(Report{Member: restarted})
+	eventually(t, "a daemon that restarts has the entry", func() bool { return received.Load() > before })
+}
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
@@ -115,3 +116,21 @@
 		g.send([]registrar.Member{m}, data, trafficReport)
 	}
 }
+
+// bringUpToDate sends the entries in force to members of the own service that may have
+// missed some.
+func (g *Gossiper) bringUpToDate(returned []registrar.Member) {
+	if len(returned) == 0 {
+		return
+	}
+	own := g.own()
+	returned = slices.DeleteFunc(returned, func(m registrar.Member) bool { return m.Service != own.Service })
+	if len(returned) == 0 {
+		return
+	}
+	for entries := range slices.Chunk(g.config.InForce(), maxEntries) {
+		if data, ok := g.report(own, entries); ok {
+			g.send(returned, data, trafficReport)
+		}
+	}
+}
--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -13,8 +13,8 @@
 //
 // The admitter's BackendCrash action is passed as Crash, the end of an attempt that ran
 // alone as Complete, entries of other daemons as Remote. Each Broadcast action is
-// sent to the other daemons of the service and appended to the quarantine
-// stream. Each VerdictChanged action is passed to the admitter as Restrict, for
+// sent to the other daemons of the service and stored. A daemon that starts gets what
+// InForce returns at the others. Each VerdictChanged action is passed to the admitter as Restrict, for
 // attempts that were queued before the verdict changed.
 //
 // # Convergence
@@ -28,6 +28,10 @@
 package quarantiner
 
 import (
+	"bytes"
+	"cmp"
+	"slices"
+
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -72,17 +76,23 @@
 	return q.table[fingerprint].verdict(wall)
 }
 
-// Entries appends the entries that are valid at the given time to a slice, to be
-// sent to starting daemons.
-func (q *Quarantiner) Entries(wall timer.Millis, entries []Entry) []Entry {
+// InForce returns up to limit entries that restrict a request at the given time, for
+// daemons that do not have them: quarantines first, then those that expire last.
+func (q *Quarantiner) InForce(wall timer.Millis, limit int) []Entry {
+	var entries []Entry
 	for fingerprint, t := range q.table {
-		for kind, until := range t {
-			if until > wall {
-				entries = append(entries, Entry{Fingerprint: fingerprint, Kind: Kind(kind), Expires: until})
-			}
+		switch verdict, _ := t.verdict(wall); verdict {
+		case Refuse:
+			entries = append(entries, Entry{Fingerprint: fingerprint, Kind: Quarantined, Expires: t[Quarantined]})
+		case RunSolo:
+			entries = append(entries, Entry{Fingerprint: fingerprint, Kind: Suspect, Expires: t[Suspect]})
+		case Run:
 		}
 	}
-	return entries
+	slices.SortFunc(entries, func(x, y Entry) int {
+		return cmp.Or(cmp.Compare(y.Kind, x.Kind), cmp.Compare(y.Expires, x.Expires), bytes.Compare(x.Fingerprint[:], y.Fingerprint[:]))
+	})
+	return entries[:min(limit, len(entries))]
 }
 
 // Size returns the number of fingerprints kept.
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -147,6 +147,8 @@
 	// byIncarnation finds the entry for a status update.
 	byIncarnation map[identifier.Incarnation]*entry
 	version       uint64
+	// returned are the members that TakeReturned returns.
+	returned []Member
 }
 
 // New returns an empty table. It ignores reports of self.
@@ -157,6 +159,14 @@
 // Version increases with each change of the table other than of load.
 func (r *Registrar) Version() uint64 { return r.version }
 
+// TakeReturned returns the members that have joined, restarted or reported again after a
+// silence since the last call, and may have missed what others sent.
+func (r *Registrar) TakeReturned() []Member {
+	returned := r.returned
+	r.returned = nil
+	return returned
+}
+
 // Observe applies a member's own report.
 func (r *Registrar) Observe(now timer.Millis, m Member) Change {
 	if m.Node == r.self {
@@ -167,6 +177,7 @@
 	if !found {
 		r.add(&entry{member: m, key: KeyOf(m.Service), lastSeen: now, reported: true})
 		r.version++
+		r.returned = append(r.returned, m)
 		return Joined
 	}
 	old := known.member
@@ -177,6 +188,9 @@
 	delete(r.byIncarnation, old.Incarnation)
 	known.member, known.key, known.lastSeen, known.reported = m, KeyOf(m.Service), now, true
 	r.byIncarnation[m.Incarnation] = known
+	if revived || m.Incarnation > old.Incarnation {
+		r.returned = append(r.returned, m)
+	}
 	if m.Incarnation > old.Incarnation {
 		r.version++
 		return Restarted
@@ -201,6 +215,7 @@
 		e.member.StoreUnreachable = u.StoreUnreachable
 		if now-e.lastSeen > silenceTimeout {
 			r.version++
+			r.returned = append(r.returned, e.member)
 		}
 		e.member.Revision, e.member.Load, e.lastSeen = u.Revision, u.Load, now
 	}
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -104,3 +104,36 @@
 		Expect(table.Members()).To(BeEmpty())
 	})
 })
+
+// Guards against a member that was silent while something was sent once and is not known to
+// have returned.
+func TestTakeReturned(t *testing.T) {
+	r := registrar.New("self")
+	member := func(incarnation identifier.Incarnation, revision uint64) registrar.Member {
+		return registrar.Member{Node: "a", Incarnation: incarnation, Revision: revision, Service: "s", Accepting: true}
+	}
+	status := func(revision uint64) registrar.StatusUpdate {
+		return registrar.StatusUpdate{Incarnation: 2, Revision: revision, Accepting: true}
+	}
+	cases := []struct {
+		name     string
+		observe  func()
+		returned int
+	}{
+		{"learned from another source", func() { r.Learn(0, member(1, 1)) }, 0},
+		{"its first report", func() { r.Observe(10, member(1, 2)) }, 1},
+		{"another report", func() { r.Observe(20, member(1, 3)) }, 0},
+		{"a restart", func() { r.Observe(30, member(2, 1)) }, 1},
+		{"a status update", func() { r.ObserveStatus(400, status(2)) }, 0},
+		{"a status update after a silence", func() { r.ObserveStatus(3000, status(3)) }, 1},
+		{"a late one after a silence", func() { r.ObserveStatus(9000, status(2)) }, 0},
+		{"a report after a silence", func() { r.Observe(9000, member(2, 9)) }, 1},
+		{"an outdated report", func() { r.Observe(20_000, member(1, 99)) }, 0},
+	}
+	for _, c := range cases {
+		c.observe()
+		if got := len(r.TakeReturned()); got != c.returned {
+			t.Errorf("%s: %d members returned, want %d", c.name, got, c.returned)
+		}
+	}
+}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -342,6 +342,13 @@
 	}
 }
 
+// QuarantineEntries returns up to limit entries that restrict requests.
+func (a *Admission) QuarantineEntries(limit int) []quarantiner.Entry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quarantiner.InForce(a.config.Clock.Wall(), limit)
+}
+
 // AddQuarantineEntries applies quarantine entries of another daemon of the service and
 // returns those that changed a verdict.
 func (a *Admission) AddQuarantineEntries(entries []quarantiner.Entry) []quarantiner.Entry {
