Check under load whether the backend server has turned cold again

An instance that turned cold under a steady load of 80 requests a second went on getting its full share until its next heartbeat, up to 1.5 s later: 73 requests in a second, 59 allowed.

Cause: health checks were due only if no answer had told the load lately. Answers to requests don't tell whether a backend server is cold, so under steady load nothing asked for it.

Change: admission counts its starts since a health check last found the backend server warm. As soon as there are as many within a second as a cold one takes, it checks again, at most every 100 ms. A rate below that needs no further check; starts of the last second count against the limit of a cold start that is found.

--- a/internal/state/admitter/load.go
+++ b/internal/state/admitter/load.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// RecentStarts returns the number of starts within the second before the last event.
+func (a *Admitter) RecentStarts() int { return a.startRate.recent(a.now) }
+
 // Status is the state shown to operators.
 type Status struct {
 	Load        Load
--- a/internal/state/admitter/rate.go
+++ b/internal/state/admitter/rate.go
@@ -37,6 +37,12 @@
 	r.starts = append(r.starts[:0], r.starts[old:]...)
 }
 
+// recent returns the number of starts within the last second.
+func (r *startRate) recent(now timer.Millis) int {
+	r.trim(now)
+	return len(r.starts)
+}
+
 func (r *startRate) allows(now timer.Millis) bool {
 	if r.perSecond <= 0 {
 		return true
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -281,6 +281,7 @@
 	for _, action := range a.admitter.Step(now, event, buffer[:0]) {
 		switch act := action.(type) {
 		case admitter.Start:
+			a.recordStart(now)
 			a.deliverDecision(act.Attempt, decision{start: true, solo: act.Solo, at: now, remaining: act.Remaining})
 		case admitter.Refuse:
 			a.deliverDecision(act.Attempt, refuse(act.Reason, act.RetryAfter))
--- a/internal/transport/dispatcher/cold_start.go
+++ b/internal/transport/dispatcher/cold_start.go
@@ -13,6 +13,9 @@
 	// limitSet says that a start rate limit was set since the last reset. Only the
 	// first one may be exhausted.
 	limitSet bool
+	// starts counts the attempts started, checked those started before the last health check
+	// that found the backend server warm was sent.
+	starts, checked uint64
 }
 
 // update applies a current report of the backend server.
@@ -28,10 +31,31 @@
 }
 
 // reset makes the backend server cold until its next report.
-func (c *coldStart) reset() { *c = coldStart{} }
+func (c *coldStart) reset() { *c = coldStart{starts: c.starts} }
 
 func (c *coldStart) cold(now timer.Millis) bool { return !c.known || now < c.until }
 
+// unconfirmed returns the number of starts within the last second since the backend server
+// was known to be warm. Recent are all starts within that second.
+func (c *coldStart) unconfirmed(recent int) int {
+	return min(recent, int(c.starts-c.checked))
+}
+
+// recordStart counts a start and checks the backend server if it may have turned cold and
+// got as many attempts since as it takes in a second then. It says so only in health
+// responses and announcements, and answers to requests take their place otherwise. The
+// caller holds the lock.
+func (a *Admission) recordStart(now timer.Millis) {
+	a.coldStart.starts++
+	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
+	if !found || service.HealthPath == "" || service.ColdPerSecond <= 0 || a.coldStart.cold(now) || now-a.checkedAt < minCheckInterval {
+		return
+	}
+	if float64(a.coldStart.unconfirmed(a.admitter.RecentStarts())) >= service.ColdPerSecond {
+		a.beginCheck()
+	}
+}
+
 // setStartRateLimit limits the start rate while the backend server is cold. The
 // caller holds the lock.
 func (a *Admission) setStartRateLimit(now timer.Millis) {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -56,8 +56,10 @@
 type Health struct {
 	// Backend is empty if the page names none.
 	Backend identifier.BackendID
-	// ColdFor is how long the backend server stays cold.
-	ColdFor timer.Millis
+	// ColdFor is how long the backend server stays cold. ColdUnreadable says that the page
+	// names a time which cannot be read.
+	ColdFor        timer.Millis
+	ColdUnreadable bool
 }
 
 // Dialect translates the headers between callers, daemons and backend servers.
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -33,6 +33,7 @@
 	}
 	if end.result == admitter.Crashed && !a.unreachable() {
 		end.result = admitter.Failed
+		a.checkRestarted()
 	}
 	if end.answered && end.result == admitter.OK {
 		a.observeRun(r, before, latency)
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -15,7 +15,7 @@
 )
 
 // Intervals of health checks. Each check costs the backend server a request, so
-// checks run only while no answers report the load.
+// checks run only while no answers report the load, or after many starts; see recordStart.
 const (
 	// slowCheckInterval is the interval while the VM is slow: daemons avoid it then,
 	// so no answer shows when it is fast again.
@@ -24,7 +24,9 @@
 	defaultCheckInterval = 400 * timer.Millis(1)
 	// unknownCheckInterval is the interval while the backend server's state is not known.
 	unknownCheckInterval = 100 * timer.Millis(1)
-	healthTimeout        = 800 * timer.Millis(1)
+	// minCheckInterval bounds the checks after many starts.
+	minCheckInterval = 100 * timer.Millis(1)
+	healthTimeout    = 800 * timer.Millis(1)
 	// maxHealthBytes bounds the body of a health check's response, which is not used.
 	maxHealthBytes = 64 << 10
 	// maxLoadAge is the age up to which a start relies on the known load. The
@@ -59,17 +61,32 @@
 func (a *Admission) startCheck() <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.beginCheck()
+}
+
+// beginCheck is startCheck for a caller that holds the lock.
+func (a *Admission) beginCheck() <-chan struct{} {
 	if a.checkDone == nil {
 		a.checkDone = make(chan struct{})
 		a.checkedAt = a.config.Clock.Now()
 		if a.notices.checkedAt == 0 {
 			a.notices.checkedAt = a.checkedAt
 		}
-		go a.check(a.checkDone)
+		go a.check(a.checkDone, a.coldStart.starts)
 	}
 	return a.checkDone
 }
 
+// checkRestarted checks a backend server that broke a connection and accepts new ones: it
+// may have restarted, and be cold.
+func (a *Admission) checkRestarted() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.healthPath() != "" && a.config.Clock.Now()-a.checkedAt >= minCheckInterval {
+		a.beginCheck()
+	}
+}
+
 // checkDue reports whether it is time for a health check.
 func (a *Admission) checkDue(now timer.Millis) bool {
 	if a.healthPath() == "" || a.checkDone != nil {
@@ -96,8 +113,9 @@
 	return service.HealthPath
 }
 
-// check requests the health and load of the backend server.
-func (a *Admission) check(ended chan struct{}) {
+// check requests the health and load of the backend server. Starts counts the attempts
+// started before.
+func (a *Admission) check(ended chan struct{}, starts uint64) {
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	request.Header.SetMethod(fasthttp.MethodGet)
 	request.Header.SetRequestURI(a.healthPath())
@@ -109,7 +127,7 @@
 	switch result {
 	case exchanger.Answered:
 		a.recordLoad(&response.Header)
-		a.applyHealth(a.config.Dialect.Health(response), a.config.Dialect.Notice(&response.Header))
+		a.applyHealth(a.config.Dialect.Health(response), a.config.Dialect.Notice(&response.Header), starts)
 	case exchanger.ConnectionRefused:
 		a.setDown("health check refused")
 	case exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
@@ -121,8 +139,9 @@
 	a.config.OnChange()
 }
 
-// applyHealth applies an answer of the health page.
-func (a *Admission) applyHealth(h Health, n Notice) {
+// applyHealth applies an answer of the health page, which was requested after a number of
+// starts.
+func (a *Admission) applyHealth(h Health, n Notice, starts uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
@@ -141,7 +160,12 @@
 	}
 	a.down = false
 	a.recordNotice(n, sourceCheck)
-	a.coldStart.update(now, h.ColdFor)
+	if h.ColdUnreadable {
+		a.coldStart.updateFromAnnouncement(now, 0)
+	} else {
+		a.coldStart.update(now, h.ColdFor)
+		a.coldStart.checked = starts
+	}
 	a.setStartRateLimit(now)
 }
 
--- a/internal/transport/dispatcher/notice.go
+++ b/internal/transport/dispatcher/notice.go
@@ -17,6 +17,8 @@
 	Rate    admitter.Rate
 	// Leaving says that it is about to exit and wants no more requests.
 	Leaving bool
+	// ColdFor is how long it stays cold; zero if the answer does not say.
+	ColdFor timer.Millis
 }
 
 // Sources of notices in the log.
@@ -88,6 +90,10 @@
 		*count = noticeCount{}
 		a.step(now, admitter.RateLimit{Limited: n.Limited, Rate: n.Rate})
 	}
+	if n.ColdFor > 0 {
+		a.coldStart.updateFromAnnouncement(now, n.ColdFor)
+		a.setStartRateLimit(now)
+	}
 	if n.Leaving && a.backend.State != admitter.Draining {
 		a.config.Logger.Info("backend server says in an answer that it leaves", "backend", a.backend.ID, "source", source)
 		a.announce(Backend{ID: a.backend.ID, Incarnation: a.order.Start(), Sequence: math.MaxUint64, State: admitter.Draining})
