Let no single heartbeat of another writer replace a backend server that is alive

Cause: a heartbeat without a start was taken for the leave of the current run, whatever its state, and its sequence number was kept.

The orderer counts a leave of the known run whatever its sequence number, and does not replace a run that answered the last health check and was not seen gone since: a later run of it counts after a second announcement a second later, another backend server once it answers the health check, which is made at once.

--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -91,8 +91,10 @@
 	backend     Backend
 	// leftRun is the last run of the backend server that said that it leaves.
 	leftRun orderer.Run
-	// order decides which announcements of the backend server are current.
-	order *orderer.Orderer
+	// order decides which announcements of the backend server are current. Pending is one of
+	// another backend server that counts if the health check finds it; nil if there is none.
+	order   *orderer.Orderer
+	pending *Backend
 	// down says that the backend server cannot be reached or that another one has its
 	// address. The next announcement or good health answer resets it.
 	down     bool
@@ -320,6 +322,7 @@
 			Fingerprint: r.Fingerprint, HasFingerprint: r.HasFingerprint, Solo: r.Solo,
 		})
 	}
+	a.order.Gone()
 	a.config.Logger.Warn("backend server crashed", "backend", a.backend.ID, "running", len(act.Running), "uncertain", act.Uncertain)
 	a.quarantine(now, crash)
 }
@@ -405,12 +408,18 @@
 func (a *Admission) announce(b Backend) bool {
 	now, known := a.config.Clock.Now(), a.backend
 	unknown := !a.order.Known() && b.Incarnation == 0
-	run, current := a.order.Accept(now, a.config.Clock.Wall(), orderer.Announcement{
+	run, verdict := a.order.Accept(now, a.config.Clock.Wall(), orderer.Announcement{
 		Backend: b.ID, Start: b.Incarnation, Presumed: b.Presumed, Sequence: b.Sequence, Leaving: b.State == admitter.Draining,
 	})
-	if !current {
+	switch verdict {
+	case orderer.Outdated:
 		return false
+	case orderer.Unconfirmed:
+		a.verify(now, b)
+		return false
+	case orderer.Current:
 	}
+	a.pending = nil
 	b.Incarnation, b.Presumed = a.order.Start(), a.order.Presumed()
 	if b.Slots == 0 && known.ID == b.ID {
 		b.Slots = known.Slots // A leave does not report slots.
@@ -435,7 +444,7 @@
 			go a.startCheck()
 		}
 	}
-	a.coldStart.updateFromAnnouncement(now, b.ColdFor)
+	a.coldStart.updateFromAnnouncement(now, a.coldFor(b))
 	if known.ID != b.ID || known.State != b.State {
 		a.config.Logger.Info("backend server announced", "backend", b.ID, "state", b.State.String(), "slots", b.Slots)
 	}
@@ -445,6 +454,32 @@
 	return true
 }
 
+// verify checks whether an announcement that may come from another writer holds. The caller
+// holds the lock.
+func (a *Admission) verify(now timer.Millis, b Backend) {
+	a.config.Logger.Warn("announcement of another run is not confirmed yet", "known", a.backend.ID, "known_start", a.backend.Incarnation, "backend", b.ID, "start", b.Incarnation, "state", b.State.String())
+	if b.ID == a.backend.ID {
+		// If it holds, the backend server is cold.
+		a.coldStart.updateFromAnnouncement(now, a.coldFor(b))
+		a.setStartRateLimit(now)
+	} else {
+		a.pending = &b
+	}
+	if a.healthPath() != "" {
+		a.beginCheck()
+	}
+}
+
+// coldFor returns how long an announced backend server stays cold, at most as long as the
+// configuration says that a cold start takes.
+func (a *Admission) coldFor(b Backend) timer.Millis {
+	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
+	if !found || service.ColdSpan <= 0 {
+		return b.ColdFor
+	}
+	return min(b.ColdFor, service.ColdSpan)
+}
+
 // Backend returns the known state of the backend server.
 func (a *Admission) Backend() Backend {
 	a.mu.Lock()
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -206,6 +206,7 @@
 func (a *Admission) setDown(reason string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.order.Gone()
 	if a.down {
 		return
 	}
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -146,6 +146,12 @@
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
 	a.order.Found(h.Backend)
+	if next := a.pending; next != nil {
+		a.pending = nil
+		if h.Backend == next.ID {
+			a.announce(*next)
+		}
+	}
 	switch {
 	case h.Backend == "":
 		return
