Keep the headers on which both ends rely, whatever a Connection header names

Cause: the headers that a Connection header names were removed after the daemon had set its own. Of several Connection headers only the first was read.

Change: they are removed first, before anything is set, from all Connection headers, and never those that describe the message or that the platform defines.

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -64,6 +64,9 @@
 
 // Dialect translates the headers between callers, daemons and backend servers.
 type Dialect interface {
+	// EndToEnd returns the headers on which callers, daemons and backend servers rely. A
+	// Connection header cannot remove them.
+	EndToEnd() []string
 	// RequestID returns the id that the caller gave its request.
 	RequestID(header *fasthttp.RequestHeader) []byte
 	// TimeLeft returns how long the caller still waits, or false if the request does
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -181,7 +181,7 @@
 	case Genuine:
 		a.applyNotice(r.backendRun, &r.Response.Header)
 	}
-	removeHopHeaders(&r.Response.Header)
+	removeHopHeaders(&r.Response.Header, a.config.Dialect.EndToEnd())
 	encoder.RemoveOwnHeaders(&r.Response.Header)
 	end := runEnd{result: admitter.OK, answered: true}
 	if r.Response.StatusCode() >= fasthttp.StatusInternalServerError {
--- a/internal/transport/dispatcher/hop.go
+++ b/internal/transport/dispatcher/hop.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"iter"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -13,18 +15,31 @@
 	fasthttp.HeaderUpgrade, fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization,
 }
 
+// messageHeaders describe the message. No Connection header removes them: the message would
+// have another meaning without them.
+var messageHeaders = []string{
+	fasthttp.HeaderHost, fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding, fasthttp.HeaderContentType,
+	fasthttp.HeaderContentEncoding, fasthttp.HeaderAuthorization,
+}
+
 // header is the common part of request and response headers.
 type header interface {
-	Peek(name string) []byte
+	All() iter.Seq2[[]byte, []byte]
 	Del(name string)
 	ResetConnectionClose()
 }
 
-// removeHopHeaders removes the headers that apply only to the connection on which
-// a message came.
-func removeHopHeaders(h header) {
-	for _, name := range strings.Split(string(h.Peek(fasthttp.HeaderConnection)), ",") {
-		if name = strings.TrimSpace(name); name != "" {
+// removeHopHeaders removes the headers that apply only to the connection on which a message
+// came. The sender cannot remove one of the kept names, on which both ends rely.
+func removeHopHeaders(h header, kept []string) {
+	var listed []string
+	for name, value := range h.All() {
+		if strings.EqualFold(string(name), fasthttp.HeaderConnection) {
+			listed = append(listed, strings.Split(string(value), ",")...)
+		}
+	}
+	for _, name := range listed {
+		if name = strings.TrimSpace(name); name != "" && !containsName(kept, name) && !containsName(messageHeaders, name) {
 			h.Del(name)
 		}
 	}
@@ -33,3 +48,7 @@
 	}
 	h.ResetConnectionClose()
 }
+
+func containsName(names []string, name string) bool {
+	return slices.ContainsFunc(names, func(n string) bool { return strings.EqualFold(n, name) })
+}
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -114,6 +114,8 @@
 func (i *Ingress) Handle(x *exchanger.Exchange) {
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
+	// Before any header is set: the caller's Connection header must not remove one of ours.
+	removeHopHeaders(&x.Request.Header, i.config.Dialect.EndToEnd())
 	end := requestEnd{request: string(i.config.Dialect.RequestID(&x.Request.Header)), outcome: encoder.Complete}
 	if refusal, answered := i.serve(x, &end); !answered {
 		i.config.Dialect.WriteRefusal(&x.Response, &x.Request.Header, refusal)
@@ -204,7 +206,6 @@
 ) (encoder.Refusal, bool) {
 	header := &x.Request.Header
 	service := i.splitter.Pick(route)
-	removeHopHeaders(header)
 	i.config.Dialect.PrepareRequest(header, i.config.Caller)
 	now := i.config.Clock.Now()
 	fleet := i.fleet(now, service)
--- a/internal/transport/dispatcher/solo_test.go
+++ b/internal/transport/dispatcher/solo_test.go
@@ -16,6 +16,8 @@
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
+func (plainDialect) EndToEnd() []string { return nil }
+
 func (plainDialect) SetTarget(*fasthttp.RequestHeader, identifier.BackendID, timer.Millis) {}
 func (plainDialect) MatchesRequest(*fasthttp.ResponseHeader, []byte, bool) bool            { return true }
 
