Believe a repeated refusal only if it names the attempt

On the path of our own interface a backend server that wrote an earlier refusal once more on a kept connection made callers hear not_run for requests that had run, and non-idempotent requests ran at a second instance (a report of other operators).

Cause: the statement of a backend server that it shed a request was taken for the answer to whatever had been sent on the connection. Only daemons named the attempt.

Change: the attempt's id is passed on to the backend server. An answer that names another attempt is no answer; a statement that nothing ran needs the id on a connection that has carried other requests. Without it the outcome is unknown.

--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,8 @@
 	// unwritten is set if the first write of a request wrote no byte.
 	unwritten bool
 	eof       bool
+	// requests counts those that were written. The next one may begin before it is read.
+	requests atomic.Int64
 }
 
 func newConnection(conn net.Conn) net.Conn {
@@ -64,6 +67,9 @@
 	}
 	n, err := c.Conn.Write(data)
 	if n > 0 {
+		if first {
+			c.requests.Add(1)
+		}
 		c.phase = phaseWritten
 	}
 	c.unwritten = first && n == 0 && err != nil
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -123,6 +123,13 @@
 	return NotSent
 }
 
+// Reused reports whether a response may have come on a connection that had carried other
+// requests: it may then be a late one to one of them.
+func Reused(response *fasthttp.Response) bool {
+	address, tracked := response.LocalAddr().(*connectionAddr)
+	return !tracked || address.conn.requests.Load() > 1
+}
+
 // CloseIdle closes all idle connections.
 func (f *Forwarder) CloseIdle() { f.client.CloseIdleConnections() }
 
--- a/internal/transport/receiver/forward.go
+++ b/internal/transport/receiver/forward.go
@@ -43,9 +43,15 @@
 	request, response := &ctx.Request, &ctx.Response
 	encoder.RemoveInternalHeaders(&request.Header)
 	request.Header.Del(fasthttp.HeaderConnection)
+	request.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 	request.Header.Set(encoder.HeaderTimeout, strconv.FormatInt(int64(d.remaining), 10))
 	result := backend.Send(request, response, d.remaining)
 	latency := time.Since(started)
+	if result == forwarder.Answered && !isAnswerTo(attempt.ID, response) {
+		a.config.Logger.Warn("answer of the backend server is not to the attempt", "attempt", attempt.ID.String(), "status", response.StatusCode())
+		backend.CloseIdle()
+		result = forwarder.Incomplete
+	}
 	outcome := admitterResult(result, response.StatusCode())
 	if outcome == admitter.Crashed && !a.hasCrashed() {
 		outcome = admitter.Failed
@@ -62,6 +68,23 @@
 	response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 }
 
+// isAnswerTo reports whether an answer of the backend server is to an attempt, as far as can
+// be told. An answer that names an attempt is to that one. On a connection that has carried
+// other attempts, a statement that nothing ran counts only if it names the attempt: it may be
+// one to an earlier attempt, written once more.
+func isAnswerTo(id identifier.AttemptID, response *fasthttp.Response) bool {
+	if echo := response.Header.Peek(encoder.HeaderAttempt); len(echo) > 0 {
+		return string(echo) == id.String()
+	}
+	return !isShed(&response.Header) || !forwarder.Reused(response)
+}
+
+// isShed reports whether the backend server says that it did not run an attempt.
+func isShed(header *fasthttp.ResponseHeader) bool {
+	var shed encoder.Refusal
+	return header.StatusCode() == fasthttp.StatusServiceUnavailable && shed.Decode(header) && shed.Outcome == encoder.NotRun
+}
+
 // hasCrashed reports whether the backend server crashed when it broke a connection:
 // it refuses a new one or has a new incarnation. A server that closes a single
 // connection has not crashed, and its requests are not suspects.
