--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -159,7 +159,9 @@
 	var attempt encoder.Attempt
 	if err := attempt.Decode(&x.Request.Header); err != nil {
 		a.config.Logger.Warn("attempt with invalid headers refused", "error", err.Error())
+		id := string(x.Request.Header.Peek(encoder.HeaderAttempt))
 		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}.WriteResponse(&x.Response)
+		x.Response.Header.Set(encoder.HeaderAttempt, id)
 		return
 	}
 	encoder.RemoveInternalHeaders(&x.Request.Header)
@@ -167,6 +169,7 @@
 		// Another VM had this address when the sender learned it.
 		a.config.Logger.Warn("attempt for another instance refused", "attempt", attempt.ID.String(), "target", attempt.Target)
 		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Unavailable, RetryAfterMs: unavailableRetryAfter}.WriteResponse(&x.Response)
+		x.Response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 		return
 	}
 	a.config.OnAttempt(attempt.ID.Origin)
@@ -444,7 +447,7 @@
 			go a.startCheck()
 		}
 	}
-	a.coldStart.updateFromAnnouncement(now, a.coldFor(b))
+	a.coldStart.updateFromAnnouncement(now, a.boundCold(b.ColdFor))
 	if known.ID != b.ID || known.State != b.State {
 		a.config.Logger.Info("backend server announced", "backend", b.ID, "state", b.State.String(), "slots", b.Slots)
 	}
@@ -460,7 +463,7 @@
 	a.config.Logger.Warn("announcement of another run is not confirmed yet", "known", a.backend.ID, "known_start", a.backend.Incarnation, "backend", b.ID, "start", b.Incarnation, "state", b.State.String())
 	if b.ID == a.backend.ID {
 		// If it holds, the backend server is cold.
-		a.coldStart.updateFromAnnouncement(now, a.coldFor(b))
+		a.coldStart.updateFromAnnouncement(now, a.boundCold(b.ColdFor))
 		a.setStartRateLimit(now)
 	} else {
 		a.pending = &b
@@ -470,16 +473,6 @@
 	}
 }
 
-// coldFor returns how long an announced backend server stays cold, at most as long as the
-// configuration says that a cold start takes.
-func (a *Admission) coldFor(b Backend) timer.Millis {
-	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
-	if !found || service.ColdSpan <= 0 {
-		return b.ColdFor
-	}
-	return min(b.ColdFor, service.ColdSpan)
-}
-
 // Backend returns the known state of the backend server.
 func (a *Admission) Backend() Backend {
 	a.mu.Lock()
--- a/internal/transport/dispatcher/cold_start.go
+++ b/internal/transport/dispatcher/cold_start.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// boundCold bounds the time that a backend server says it stays cold by what the
+// configuration says that a cold start takes. Checks go on while it is cold.
+func (a *Admission) boundCold(left timer.Millis) timer.Millis {
+	service, found := a.config.Configuration.Snapshot().Service(a.config.Member.Service)
+	if !found || service.ColdSpan <= 0 {
+		return left
+	}
+	return min(left, service.ColdSpan)
+}
+
 // setStartRateLimit limits the start rate while the backend server is cold. The
 // caller holds the lock.
 func (a *Admission) setStartRateLimit(now timer.Millis) {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -56,8 +56,8 @@
 type Health struct {
 	// Backend is empty if the page names none.
 	Backend identifier.BackendID
-	// ColdFor is how long the backend server stays cold. ColdUnreadable says that the page
-	// names a time which cannot be read.
+	// ColdFor is how long the backend server stays cold. ColdUnreadable says that the answer
+	// does not tell.
 	ColdFor        timer.Millis
 	ColdUnreadable bool
 }
@@ -87,6 +87,9 @@
 	// MatchesRequest reports whether an answer belongs to the request with the given
 	// id. On a reused connection it may be a late one to an earlier request.
 	MatchesRequest(header *fasthttp.ResponseHeader, requestID []byte, reused bool) bool
+	// MatchesCheck reports whether an answer may be to a health check. On a reused connection
+	// it may be a late one to a request.
+	MatchesCheck(header *fasthttp.ResponseHeader, reused bool) bool
 	// Classify returns the verdict on an answer.
 	Classify(response *fasthttp.Response) Verdict
 	// Load returns the load that came with an answer.
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -223,15 +223,23 @@
 		BodyLimit: i.config.Bodies.Total, BufferLimit: i.config.Bodies.bufferLimit(route.LargeBody),
 		Stream: true, Memory: e.x.Memory(),
 		Prepare: func() bool { return e.mayWrite(a, details, request) },
-		MatchResponse: func(header *fasthttp.ResponseHeader) bool {
-			echo := header.Peek(encoder.HeaderAttempt)
-			return len(echo) == 0 || string(echo) == id // Earlier versions do not echo it.
-		},
 	}
+	a.call.MatchResponse = func(header *fasthttp.ResponseHeader) bool { return matchesAttempt(header, id, a.call.Reused) }
 	go e.remote(a)
 	return true
 }
 
+// matchesAttempt reports whether a response is to an attempt. Daemons of earlier versions do
+// not name the attempt, nor does one that could not read it and closes the connection; other
+// refusals without it count on new connections only.
+func matchesAttempt(header *fasthttp.ResponseHeader, id string, reused bool) bool {
+	if echo := header.Peek(encoder.HeaderAttempt); len(echo) > 0 {
+		return string(echo) == id
+	}
+	var refusal encoder.Refusal
+	return !reused || header.ConnectionClose() || !refusal.Decode(header)
+}
+
 // mayWrite is the last check before an attempt is written to another daemon. The time
 // left is that of this moment, since the connection may have taken a while or the
 // process may have been paused.
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -92,16 +92,18 @@
 	if a.healthPath() == "" || a.checkDone != nil {
 		return false
 	}
-	interval := defaultCheckInterval
+	interval, since := defaultCheckInterval, max(a.checkedAt, a.loadAt)
 	switch {
 	case a.notices.run > 0 && a.notices.checkedAt == 0:
 		interval = 0
 	case a.down || !a.coldStart.known:
 		interval = unknownCheckInterval
+	case a.coldStart.cold(now):
+		since = a.checkedAt // Answers do not tell whether it is still cold.
 	case a.load.SlowdownPercent >= slowPercent:
 		interval = slowCheckInterval
 	}
-	return now-max(a.checkedAt, a.loadAt) >= interval
+	return now-since >= interval
 }
 
 // healthPath returns the path of the health page, or an empty string if there is none.
@@ -120,11 +122,14 @@
 	request.Header.SetMethod(fasthttp.MethodGet)
 	request.Header.SetRequestURI(a.healthPath())
 	request.Header.SetHost(string(a.config.Address))
-	result := a.pool.Do(&exchanger.Call{
+	call := &exchanger.Call{
 		Request: request, Response: response, MaxReuseIdle: backendIdleTimeout, BodyLimit: maxHealthBytes,
 		Deadline: time.Now().Add(healthTimeout.Duration()),
-	})
-	switch result {
+	}
+	call.MatchResponse = func(header *fasthttp.ResponseHeader) bool {
+		return a.config.Dialect.MatchesCheck(header, call.Reused)
+	}
+	switch a.pool.Do(call) {
 	case exchanger.Answered:
 		a.recordLoad(&response.Header)
 		a.applyHealth(a.config.Dialect.Health(response), a.config.Dialect.Notice(&response.Header), starts)
@@ -169,7 +174,7 @@
 	if h.ColdUnreadable {
 		a.coldStart.updateFromAnnouncement(now, 0)
 	} else {
-		a.coldStart.update(now, h.ColdFor)
+		a.coldStart.update(now, a.boundCold(h.ColdFor))
 		a.coldStart.checked = starts
 	}
 	a.setStartRateLimit(now)
--- a/internal/transport/dispatcher/notice.go
+++ b/internal/transport/dispatcher/notice.go
@@ -91,7 +91,7 @@
 		a.step(now, admitter.RateLimit{Limited: n.Limited, Rate: n.Rate})
 	}
 	if n.ColdFor > 0 {
-		a.coldStart.updateFromAnnouncement(now, n.ColdFor)
+		a.coldStart.updateFromAnnouncement(now, a.boundCold(n.ColdFor))
 		a.setStartRateLimit(now)
 	}
 	if n.Leaving && a.backend.State != admitter.Draining {
--- a/internal/transport/dispatcher/window_test.go
+++ b/internal/transport/dispatcher/window_test.go
@@ -243,3 +243,37 @@
 		t.Error("a backend server that refuses connections does not count as crashed")
 	}
 }
+
+// Guards against a refusal of another daemon that is taken for the answer to a later attempt
+// on the same connection.
+func TestMatchesAttempt(t *testing.T) {
+	cases := []struct {
+		name, echo               string
+		refused, reused, closing bool
+		matches                  bool
+	}{
+		{"its own answer", "7-1", false, true, false, true},
+		{"its own refusal", "7-1", true, true, false, true},
+		{"an answer to another attempt", "7-2", false, false, false, false},
+		{"a refusal of another attempt", "7-2", true, true, false, false},
+		{"an answer without the attempt", "", false, true, false, true},
+		{"a refusal without the attempt on a new connection", "", true, false, false, true},
+		{"a refusal without the attempt on a reused one", "", true, true, false, false},
+		{"one that closes the connection", "", true, true, true, true},
+	}
+	for _, c := range cases {
+		var response fasthttp.Response
+		if c.refused {
+			encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Overloaded}.WriteResponse(&response)
+		}
+		if c.closing {
+			response.Header.SetConnectionClose()
+		}
+		if c.echo != "" {
+			response.Header.Set(encoder.HeaderAttempt, c.echo)
+		}
+		if matches := matchesAttempt(&response.Header, "7-1", c.reused); matches != c.matches {
+			t.Errorf("%s: matches %v", c.name, matches)
+		}
+	}
+}
