Check what the store and other daemons say of members, and let no entry hide a daemon

A report of other operators: one odd entry of another writer among those of the instances ended the machines that read the list, or kept them from following it. Here no daemon ends, but the second can happen: an entry that claims to be a later run of a daemon at another address hides that daemon from all that read it, until it restarts; an incarnation near the highest number does so for ever.

Cause: descriptions were checked for their node only, and what the directory names replaced what a daemon reports of itself.

Change: descriptions check themselves when decoded from the store, a datagram or the list of another daemon, each alone (names, addresses with a port in range, slots, load, an incarnation of this century); so do the records that the daemons agree on. An entry of the directory replaces no daemon that reports, and a report holds against an entry of another address that never reported.

--- a/internal/assembler/membership_test.go
+++ b/internal/assembler/membership_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -334,3 +335,26 @@
 
 // reportsPassed is a time in which daemons that know each other have exchanged reports.
 const reportsPassed = 1500 * timer.Millis(1)
+
+// Guards against one odd entry in the answer of another daemon that costs the other members,
+// and against an answer that ends the daemon.
+func TestOddAnswersOfMembers(t *testing.T) {
+	const good = `{"node":"x","incarnation":5,"revision":1,"service":"s","slots":4,"peer":"127.0.0.1:1","report":"127.0.0.1:2"}`
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	odd := []string{
+		"null", "7", `"x"`, "[]", `{"node":7}`, `{"node":"x"}`, strings.Replace(good, ":1\"", ":99999\"", 1),
+		strings.Replace(good, `"slots":4`, `"slots":1e400`, 1), strings.Replace(good, `"slots":4`, `"slots":{"a":[[[[]]]]}`, 1),
+	}
+	members, err := decodeMembers([]byte("[" + strings.Join(append(odd, good), ",") + "]"))
+	if err != nil || len(members) != 1 || members[0].Node != "x" {
+		t.Errorf("members %+v, error %v", members, err)
+	}
+	for _, text := range []string{"", "{}", nested, "[" + nested + "]", "\x00\xff", "[" + good} {
+		if members, err := decodeMembers([]byte(text)); err == nil {
+			t.Errorf("%.20q: members %+v", text, members)
+		}
+		if _, err := decodeSnapshot([]byte(text)); err == nil {
+			t.Errorf("%.20q was taken for a configuration", text)
+		}
+	}
+}
--- a/internal/assembler/sync.go
+++ b/internal/assembler/sync.go
@@ -195,7 +195,7 @@
 	body, err := d.get(m, pathMembers)
 	var members []registrar.Member
 	if err == nil {
-		err = json.Unmarshal(body, &members)
+		members, err = decodeMembers(body)
 	}
 	if err != nil {
 		d.config.Logger.Warn("fetching the members known to a member failed", "member", m.Node, "error", err.Error())
@@ -205,6 +205,23 @@
 	return true
 }
 
+// decodeMembers decodes the members that another daemon knows, without those that cannot be
+// daemons.
+func decodeMembers(data []byte) ([]registrar.Member, error) {
+	var list []json.RawMessage
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	members := make([]registrar.Member, 0, len(list))
+	for _, raw := range list {
+		var m registrar.Member
+		if json.Unmarshal(raw, &m) == nil && m.Check() == nil {
+			members = append(members, m)
+		}
+	}
+	return members, nil
+}
+
 // get sends a GET request to another daemon and returns the response body.
 func (d *Daemon) get(m registrar.Member, path string) ([]byte, error) {
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -418,8 +418,8 @@
 		if err := json.Unmarshal(data[1:], &report); err != nil {
 			return Error.Wrap(err)
 		}
-		if report.Member.Node == "" {
-			return Error.New("report has no node")
+		if err := report.Member.Check(); err != nil {
+			return Error.Wrap(err)
 		}
 		g.receiveReport(report)
 	case kindOutcomesRequest:
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -181,7 +181,10 @@
 		return Joined
 	}
 	old := known.member
-	if m.Incarnation < old.Incarnation || m.Incarnation == old.Incarnation && m.Revision <= old.Revision && known.reported {
+	// An entry of another address that only another source named, and that has never reported,
+	// does not hold against a report.
+	foreign := !known.reported && old.Peer != m.Peer
+	if m.Incarnation < old.Incarnation && !foreign || m.Incarnation == old.Incarnation && m.Revision <= old.Revision && known.reported {
 		return Stale
 	}
 	revived := !known.reported || now-known.lastSeen > silenceTimeout
@@ -258,12 +261,18 @@
 }
 
 // Learn adds a member that another source named. The member is not selected
-// before its own report.
+// before its own report. It replaces no member that reports, since the source may hold an
+// entry of another writer.
 func (r *Registrar) Learn(now timer.Millis, m Member) bool {
 	known, found := r.entries[m.Node]
-	if m.Node == r.self || found && m.Incarnation <= known.member.Incarnation || r.superseded(m) {
+	if m.Node == r.self || found && (m.Incarnation <= known.member.Incarnation || r.reports(now, known)) || r.superseded(m) {
 		return false
 	}
+	for _, e := range r.entries {
+		if e.member.Peer == m.Peer && r.reports(now, e) {
+			return false
+		}
+	}
 	r.dropPredecessors(m)
 	m.Accepting = false
 	r.add(&entry{member: m, key: KeyOf(m.Service), lastSeen: now})
@@ -271,6 +280,11 @@
 	return true
 }
 
+// reports reports whether a member has sent a report within silenceTimeout.
+func (r *Registrar) reports(now timer.Millis, e *entry) bool {
+	return e.reported && now-e.lastSeen <= silenceTimeout
+}
+
 // Expire removes members without a report for removeAfter and reports whether it
 // removed any.
 func (r *Registrar) Expire(now timer.Millis) bool {
@@ -343,7 +357,7 @@
 func (r *Registrar) ActiveOf(now timer.Millis, key ServiceKey) int {
 	count := 0
 	for _, e := range r.entries {
-		if e.key == key && e.reported && now-e.lastSeen <= silenceTimeout {
+		if e.key == key && r.reports(now, e) {
 			count++
 		}
 	}
@@ -357,7 +371,7 @@
 func (r *Registrar) ActiveCount(now timer.Millis) int {
 	count := 0
 	for _, e := range r.entries {
-		if e.reported && now-e.lastSeen <= silenceTimeout {
+		if r.reports(now, e) {
 			count++
 		}
 	}
--- a/internal/state/router/control.go
+++ b/internal/state/router/control.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -26,6 +27,19 @@
 	Epoch identifier.Epoch `json:"epoch"`
 }
 
+// maxEpoch is far above the number of coordinators that are ever named, and leaves room for
+// further ones.
+const maxEpoch = 1 << 62
+
+// Check reports an error if a record cannot name a coordinator.
+func (c Coordinator) Check() error {
+	address, err := netip.ParseAddrPort(string(c.Address))
+	if c.Node == "" || c.Epoch == 0 || c.Epoch > maxEpoch || err != nil || address.Port() == 0 {
+		return Error.New("coordinator %.40q of epoch %d at %.40q", c.Node, c.Epoch, c.Address)
+	}
+	return nil
+}
+
 // Position returns the position up to which all records are included.
 func (c Control) Position() Position { return Position{Era: c.Era, Offset: c.Offset} }
 
--- a/internal/state/router/rollout.go
+++ b/internal/state/router/rollout.go
@@ -50,6 +50,19 @@
 	Rejected []identifier.ServiceVersion `json:"rejected,omitempty"`
 }
 
+// Check reports an error if a record cannot be the progress of a roll-out.
+func (p RolloutProgress) Check() error {
+	switch p.Phase {
+	case RolloutPending, RolloutRunning, RolloutDraining, RolloutCompleted, RolloutRolledBack:
+	default:
+		return Error.New("unknown phase %.20q of %.40q", p.Phase, p.Service)
+	}
+	if p.Percent < 0 || p.Percent > 100 || p.StartedAt < 0 {
+		return Error.New("progress of %.40q with %g percent since %d", p.Service, p.Percent, p.StartedAt)
+	}
+	return nil
+}
+
 // precedes reports whether a restored store holds progress from before a known final one.
 func (p RolloutProgress) precedes(final RolloutProgress) bool {
 	if p.Target == final.Target {
--- a/pkg/identifier/incarnation.go
+++ b/pkg/identifier/incarnation.go
@@ -17,3 +17,12 @@
 func NewIncarnation(wall timer.Millis) Incarnation {
 	return Incarnation(uint64(wall)<<incarnationBits | rand.Uint64N(1<<incarnationBits))
 }
+
+// maxIncarnationTime is the start of the year 2100 in Unix ms.
+const maxIncarnationTime = 4_102_444_800_000
+
+// Plausible reports whether an incarnation can be that of a process: it is above 0, and of a
+// time before the year 2100. Another one may be higher than that of any later process.
+func (i Incarnation) Plausible() bool {
+	return i > 0 && uint64(i)>>incarnationBits < maxIncarnationTime
+}
