--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -131,11 +131,6 @@
 	domainsVersion uint64
 }
 
-type pendingEntry struct {
-	entry     quarantiner.Entry
-	sendsLeft int
-}
-
 // Listen opens the socket.
 func Listen(config Config) (*Gossiper, error) {
 	address, err := netip.ParseAddrPort(string(config.Address))
@@ -188,22 +183,6 @@
 	}
 }
 
-// BroadcastQuarantine adds quarantine entries to the next reports.
-func (g *Gossiper) BroadcastQuarantine(entries []quarantiner.Entry) {
-	g.queueEntries(entries, reportsPerEntry)
-}
-
-// queueEntries adds entries to a number of the next reports. A daemon that passes on
-// entries of another one does so once, since others do too.
-func (g *Gossiper) queueEntries(entries []quarantiner.Entry, reports int) {
-	g.mu.Lock()
-	for _, entry := range entries {
-		g.entries = append(g.entries, pendingEntry{entry, reports})
-	}
-	g.mu.Unlock()
-	g.TriggerBroadcast()
-}
-
 // RecordAttemptFrom records that a daemon sent an attempt to this daemon's backend
 // server.
 func (g *Gossiper) RecordAttemptFrom(sender identifier.Incarnation) {
@@ -317,26 +296,6 @@
 	}
 }
 
-// dueEntries returns the quarantine entries of the next report and counts their
-// repeats.
-func (g *Gossiper) dueEntries() []quarantiner.Entry {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var due []quarantiner.Entry
-	kept := g.entries[:0]
-	for i, pending := range g.entries {
-		if i < maxEntries {
-			due = append(due, pending.entry)
-			pending.sendsLeft--
-		}
-		if pending.sendsLeft > 0 {
-			kept = append(kept, pending)
-		}
-	}
-	g.entries = kept
-	return due
-}
-
 // status encodes a status message.
 func (g *Gossiper) status(own registrar.Member, position Position) []byte {
 	g.mu.Lock()
@@ -444,13 +403,13 @@
 	g.fleet.observe(now, int(status.Fleet))
 	m, known := g.table.ObserveStatus(now, status.StatusUpdate)
 	returned := g.table.TakeReturned()
-	var demand demand
+	var need demand
 	if !known {
-		demand = g.demandFor(now, status)
+		need = g.demandFor(now, status)
 	}
 	g.mu.Unlock()
 	if !known {
-		if !g.wanted(demand, status) {
+		if !g.wanted(need, status) {
 			return
 		}
 		g.traffic.countAnswer(1)
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
@@ -47,22 +46,6 @@
 	return g.spread.Targets(kind, func(m registrar.Member) bool { _, uses := g.users[m.Incarnation]; return uses })
 }
 
-// sendEntries sends the quarantine entries that are due to members of the own service,
-// which pass new ones on.
-func (g *Gossiper) sendEntries(own registrar.Member) {
-	entries := g.dueEntries()
-	if len(entries) == 0 {
-		return
-	}
-	g.mu.Lock()
-	g.updateSpread()
-	targets := g.spread.OfService(own.Service)
-	g.mu.Unlock()
-	if data, ok := g.report(own, entries); ok {
-		g.send(targets, data, trafficReport)
-	}
-}
-
 func (g *Gossiper) send(to []registrar.Member, data []byte, kind trafficKind) {
 	for _, m := range to {
 		address, err := netip.ParseAddrPort(string(m.Report))
@@ -116,21 +99,3 @@
 		g.send([]registrar.Member{m}, data, trafficReport)
 	}
 }
-
-// bringUpToDate sends the entries in force to members of the own service that may have
-// missed some.
-func (g *Gossiper) bringUpToDate(returned []registrar.Member) {
-	if len(returned) == 0 {
-		return
-	}
-	own := g.own()
-	returned = slices.DeleteFunc(returned, func(m registrar.Member) bool { return m.Service != own.Service })
-	if len(returned) == 0 {
-		return
-	}
-	for entries := range slices.Chunk(g.config.InForce(), maxEntries) {
-		if data, ok := g.report(own, entries); ok {
-			g.send(returned, data, trafficReport)
-		}
-	}
-}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -32,24 +32,6 @@
 	fullRampShare = 1.0
 )
 
-// Backend is the state that the backend server announced.
-type Backend struct {
-	ID identifier.BackendID
-	// Incarnation is the start time in Unix ms. Zero in an announcement of a leave
-	// means that the announcement does not say.
-	Incarnation identifier.Incarnation
-	// Presumed says that Incarnation is the time of the leave of a run whose start is not
-	// known.
-	Presumed bool
-	// Sequence orders the announcements of one incarnation.
-	Sequence uint64
-	Slots    identifier.Slots
-	Version  identifier.ServiceVersion
-	State    admitter.BackendState
-	// ColdFor is how long it stays cold.
-	ColdFor timer.Millis
-}
-
 // AdmissionConfig configures an Admission.
 type AdmissionConfig struct {
 	// Member describes this daemon; Admission fills in its load and state.
@@ -316,62 +298,6 @@
 	a.applyLimits(now)
 }
 
-// handleCrash reports to the quarantiner which requests ran when the backend
-// server crashed.
-func (a *Admission) handleCrash(now timer.Millis, act admitter.BackendCrash) {
-	crash := quarantiner.Crash{Uncertain: act.Uncertain}
-	for _, r := range act.Running {
-		crash.Running = append(crash.Running, quarantiner.Running{
-			Fingerprint: r.Fingerprint, HasFingerprint: r.HasFingerprint, Solo: r.Solo,
-		})
-	}
-	a.order.Gone()
-	a.config.Logger.Warn("backend server crashed", "backend", a.backend.ID, "running", len(act.Running), "uncertain", act.Uncertain)
-	a.quarantine(now, crash)
-}
-
-func (a *Admission) quarantine(now timer.Millis, event quarantiner.Event) {
-	var broadcast []quarantiner.Entry
-	for _, action := range a.quarantiner.Step(a.config.Clock.Wall(), event, nil) {
-		switch act := action.(type) {
-		case quarantiner.Broadcast:
-			broadcast = append(broadcast, act.Entry)
-			a.config.Logger.Warn("sending quarantine entry to other daemons", "fingerprint", act.Entry.Fingerprint, "kind", act.Entry.Kind)
-		case quarantiner.VerdictChanged:
-			a.step(now, admitter.Restrict{
-				Fingerprint: act.Fingerprint, TimeLeft: act.TimeLeft,
-				Solo: act.Verdict == quarantiner.RunSolo, Refuse: act.Verdict == quarantiner.Refuse,
-			})
-		}
-	}
-	if len(broadcast) > 0 {
-		a.config.BroadcastQuarantine(broadcast)
-	}
-}
-
-// QuarantineEntries returns up to limit entries that restrict requests.
-func (a *Admission) QuarantineEntries(limit int) []quarantiner.Entry {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.quarantiner.InForce(a.config.Clock.Wall(), limit)
-}
-
-// AddQuarantineEntries applies quarantine entries of another daemon of the service and
-// returns those that changed a verdict.
-func (a *Admission) AddQuarantineEntries(entries []quarantiner.Entry) []quarantiner.Entry {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var added []quarantiner.Entry
-	for _, entry := range entries {
-		before, _ := a.quarantiner.Verdict(a.config.Clock.Wall(), entry.Fingerprint)
-		a.quarantine(a.config.Clock.Now(), quarantiner.Remote{Entry: entry})
-		if after, _ := a.quarantiner.Verdict(a.config.Clock.Wall(), entry.Fingerprint); after != before {
-			added = append(added, entry)
-		}
-	}
-	return added
-}
-
 // applyLimits passes the limits in force and the state of the failure domain to
 // the admitter. The caller holds the lock.
 func (a *Admission) applyLimits(now timer.Millis) {
@@ -399,87 +325,6 @@
 	a.config.OnChange()
 }
 
-// Announce applies an announcement of the backend server. It returns false if the
-// announcement is older than the known state.
-func (a *Admission) Announce(b Backend) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.announce(b)
-}
-
-// announce applies an announcement. The caller holds the lock.
-func (a *Admission) announce(b Backend) bool {
-	now, known := a.config.Clock.Now(), a.backend
-	unknown := !a.order.Known() && b.Incarnation == 0
-	run, verdict := a.order.Accept(now, a.config.Clock.Wall(), orderer.Announcement{
-		Backend: b.ID, Start: b.Incarnation, Presumed: b.Presumed, Sequence: b.Sequence, Leaving: b.State == admitter.Draining,
-	})
-	switch verdict {
-	case orderer.Outdated:
-		return false
-	case orderer.Unconfirmed:
-		a.verify(now, b)
-		return false
-	case orderer.Current:
-	}
-	a.pending = nil
-	b.Incarnation, b.Presumed = a.order.Start(), a.order.Presumed()
-	if b.Slots == 0 && known.ID == b.ID {
-		b.Slots = known.Slots // A leave does not report slots.
-	}
-	if b.Version == "" && known.ID == b.ID {
-		b.Version = known.Version
-	}
-	a.backend = b
-	if b.State == admitter.Draining && run != a.leftRun {
-		a.leftRun = run
-		a.config.OnLeave()
-	}
-	if unknown {
-		a.config.Logger.Info("leave of an unannounced backend server", "backend", b.ID)
-		return true
-	}
-	a.down = false
-	if run != a.notices.run {
-		a.notices = notices{run: run}
-		a.step(now, admitter.RateLimit{})
-		if a.healthPath() != "" {
-			go a.startCheck()
-		}
-	}
-	a.coldStart.updateFromAnnouncement(now, a.boundCold(b.ColdFor))
-	if known.ID != b.ID || known.State != b.State {
-		a.config.Logger.Info("backend server announced", "backend", b.ID, "state", b.State.String(), "slots", b.Slots)
-	}
-	a.step(now, admitter.Announce{Incarnation: identifier.Incarnation(run), Slots: b.Slots, State: b.State})
-	a.applyLimits(now)
-	a.config.OnChange()
-	return true
-}
-
-// verify checks whether an announcement that may come from another writer holds. The caller
-// holds the lock.
-func (a *Admission) verify(now timer.Millis, b Backend) {
-	a.config.Logger.Warn("announcement of another run is not confirmed yet", "known", a.backend.ID, "known_start", a.backend.Incarnation, "backend", b.ID, "start", b.Incarnation, "state", b.State.String())
-	if b.ID == a.backend.ID {
-		// If it holds, the backend server is cold.
-		a.coldStart.updateFromAnnouncement(now, a.boundCold(b.ColdFor))
-		a.setStartRateLimit(now)
-	} else {
-		a.pending = &b
-	}
-	if a.healthPath() != "" {
-		a.beginCheck()
-	}
-}
-
-// Backend returns the known state of the backend server.
-func (a *Admission) Backend() Backend {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.backend
-}
-
 // MarkNotAccepting tells other daemons to send no more attempts. Those that still
 // arrive are run.
 func (a *Admission) MarkNotAccepting() {
--- a/internal/transport/dispatcher/window_test.go
+++ b/internal/transport/dispatcher/window_test.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -36,31 +36,10 @@
 // response to the request with the given id.
 func backendServer(t *testing.T, script func(conn net.Conn, id string)) identifier.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					var request fasthttp.Request
-					if request.Read(reader) != nil {
-						return
-					}
-					script(conn, string(request.Header.Peek("X-Id")))
-				}
-			}()
-		}
-	}()
-	return identifier.Address(listener.Addr().String())
+	return tester.StartServer(t, func(conn net.Conn, request *fasthttp.Request) bool {
+		script(conn, string(request.Header.Peek("X-Id")))
+		return true
+	})
 }
 
 // newReadyAdmission returns an admission with an announced backend server.
--- a/internal/transport/exchanger/cut_test.go
+++ b/internal/transport/exchanger/cut_test.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -37,29 +37,14 @@
 // cutServer answers each request with the bytes of an answer, then closes.
 func cutServer(t *testing.T, answer *atomic.Value, reset bool) identifier.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			var request fasthttp.Request
-			if request.Read(bufio.NewReader(conn)) == nil {
-				_, _ = io.WriteString(conn, answer.Load().(string))
-			}
-			if reset {
-				time.Sleep(time.Millisecond) // The bytes arrive before the reset.
-				resetOnClose(conn)
-			}
-			_ = conn.Close()
+	return tester.StartServer(t, func(conn net.Conn, _ *fasthttp.Request) bool {
+		_, _ = io.WriteString(conn, answer.Load().(string))
+		if reset {
+			time.Sleep(time.Millisecond) // The bytes arrive before the reset.
+			resetOnClose(conn)
 		}
-	}()
-	return identifier.Address(listener.Addr().String())
+		return false
+	})
 }
 
 // Guards against an answer that ends at any byte and is taken for a whole one: in its head
--- a/internal/transport/forwarder/cut_test.go
+++ b/internal/transport/forwarder/cut_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -50,27 +50,12 @@
 // cutServer answers each request with the bytes of an answer, then closes.
 func cutServer(t *testing.T, answer *atomic.Value, reset bool) identifier.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			var request fasthttp.Request
-			if request.Read(bufio.NewReader(conn)) == nil {
-				_, _ = io.WriteString(conn, answer.Load().(string))
-			}
-			if reset {
-				time.Sleep(time.Millisecond) // The bytes arrive before the reset.
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = conn.Close()
+	return tester.StartServer(t, func(conn net.Conn, _ *fasthttp.Request) bool {
+		_, _ = io.WriteString(conn, answer.Load().(string))
+		if reset {
+			time.Sleep(time.Millisecond) // The bytes arrive before the reset.
+			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
-	}()
-	return identifier.Address(listener.Addr().String())
+		return false
+	})
 }
--- a/internal/transport/receiver/copy_test.go
+++ b/internal/transport/receiver/copy_test.go
@@ -1,7 +1,6 @@
 package receiver_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -30,54 +30,42 @@
 
 func startRepeater(t *testing.T, echoes, before bool) *repeater {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	r := &repeater{address: listener.Addr().String(), echoes: echoes, before: before, runs: map[string]int{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(conn)
-		}
-	}()
+	r := &repeater{echoes: echoes, before: before, runs: map[string]int{}}
+	var mu sync.Mutex
+	refusals := map[net.Conn]string{}
+	r.address = string(tester.StartServer(t, func(conn net.Conn, request *fasthttp.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		refusals[conn] = r.answer(conn, request, refusals[conn])
+		return true
+	}))
 	return r
 }
 
-func (r *repeater) serve(conn net.Conn) {
-	defer conn.Close()
-	reader, refusal := bufio.NewReader(conn), ""
-	for {
-		var request fasthttp.Request
-		if request.Read(reader) != nil {
-			return
-		}
-		echo := ""
-		if r.echoes {
-			echo = fmt.Sprintf("%s: %s\r\n", encoder.HeaderAttempt, request.Header.Peek(encoder.HeaderAttempt))
-		}
-		path := string(request.URI().Path())
-		if strings.HasPrefix(path, "/refused") {
-			refusal = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", encoder.HeaderOutcome, encoder.NotRun, echo)
-			_, _ = io.WriteString(conn, refusal)
-			if r.before {
-				_, _ = io.WriteString(conn, refusal)
-			}
-			continue
-		}
-		r.mu.Lock()
-		r.runs[path]++
-		r.mu.Unlock()
-		if !r.before {
+// answer answers a request and returns the last refusal on the connection.
+func (r *repeater) answer(conn net.Conn, request *fasthttp.Request, refusal string) string {
+	echo := ""
+	if r.echoes {
+		echo = fmt.Sprintf("%s: %s\r\n", encoder.HeaderAttempt, request.Header.Peek(encoder.HeaderAttempt))
+	}
+	path := string(request.URI().Path())
+	if strings.HasPrefix(path, "/refused") {
+		refusal = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", encoder.HeaderOutcome, encoder.NotRun, echo)
+		_, _ = io.WriteString(conn, refusal)
+		if r.before {
 			_, _ = io.WriteString(conn, refusal)
-			time.Sleep(10 * time.Millisecond)
 		}
-		_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\nran", echo))
+		return refusal
+	}
+	r.mu.Lock()
+	r.runs[path]++
+	r.mu.Unlock()
+	if !r.before {
+		_, _ = io.WriteString(conn, refusal)
+		time.Sleep(10 * time.Millisecond)
 	}
+	_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\nran", echo))
+	return refusal
 }
 
 func (r *repeater) runsOf(path string) int {
