Keep a cold start that a health check does not tell of

A rejected or unreadable health check made a backend server warm of which nothing was known yet, right after its address had refused connections. Found by reading; the case "one while nothing is known" of TestHealthAndColdStart fails before the change.

--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -172,11 +172,10 @@
 	a.down = false
 	a.recordNotice(n, sourceCheck)
 	if h.ColdUnreadable {
-		a.coldStart.updateFromAnnouncement(now, 0)
-	} else {
-		a.coldStart.update(now, a.boundCold(h.ColdFor))
-		a.coldStart.checked = starts
+		return // What is known of the cold start stays.
 	}
+	a.coldStart.update(now, a.boundCold(h.ColdFor))
+	a.coldStart.checked = starts
 	a.setStartRateLimit(now)
 }
 
