--- a/internal/transport/dispatcher/announce_test.go
+++ b/internal/transport/dispatcher/announce_test.go
@@ -70,3 +70,21 @@
 		}
 	}
 }
+
+// Guards against a backend server that is out of use since one that was there before it was
+// found to be gone: the attempt was for the earlier one.
+func TestMisdirectedAttemptOfEarlierRun(t *testing.T) {
+	a := newAdmission(new([]identifier.Incarnation))
+	a.config.Configuration.Adopt((&router.Snapshot{Version: 1}).Index())
+	a.Announce(Backend{ID: "a", Incarnation: 1, Sequence: 1, Slots: 4, State: admitter.Ready})
+	earlier := a.notices.run
+	a.Announce(Backend{ID: "b", Incarnation: 2, Sequence: 1, Slots: 4, State: admitter.Ready})
+	a.setMisdirected(earlier)
+	if _, accepting := a.Member(); !accepting {
+		t.Error("an answer to an attempt for the earlier backend server takes the next one out of use")
+	}
+	a.setMisdirected(a.notices.run)
+	if _, accepting := a.Member(); accepting {
+		t.Error("a backend server whose address another one has is still in use")
+	}
+}
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/estimator"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/orderer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
@@ -174,7 +175,7 @@
 		a.applyNotice(r.backendRun, &r.Response.Header)
 		return notRun(admitter.Shed, classifier.Shed)
 	case Misdirected:
-		a.setDown("another backend server answered")
+		a.setMisdirected(r.backendRun)
 		return notRun(admitter.Shed, classifier.Unavailable)
 	case Untrusted:
 		return unknown(admitter.Failed, classifier.IncompleteAnswer)
@@ -201,6 +202,17 @@
 	a.mu.Unlock()
 }
 
+// setMisdirected handles the answer of another backend server to an attempt for a run. It
+// tells nothing of a run that was announced since.
+func (a *Admission) setMisdirected(run orderer.Run) {
+	a.mu.Lock()
+	current := run == a.notices.run
+	a.mu.Unlock()
+	if current {
+		a.setDown("another backend server answered")
+	}
+}
+
 // setDown makes admission refuse attempts until the next announcement or good
 // health answer of the backend server.
 func (a *Admission) setDown(reason string) {
