Bring returned members up to date by a few others, and store quarantines only

After a restart of all, each member of a service sent up to four datagrams of entries to each other one, most of them suspects, of which each crash makes one for every request that ran; the descriptions that every daemon reads held them as well.

Change: four members on average bring a returned one up to date; quarantines are sent in full, suspects only in the datagram that is sent anyway; descriptions hold quarantines.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -54,7 +54,7 @@
 // killed.
 type Description struct {
 	registrar.Member
-	// Entries restrict requests that crash backend servers of the service.
+	// Entries quarantine requests that crash backend servers of the service.
 	Entries []quarantiner.Entry `json:"entries,omitempty"`
 }
 
--- a/internal/assembler/membership.go
+++ b/internal/assembler/membership.go
@@ -105,7 +105,7 @@
 	defer cancel()
 	changes := d.registration.begin()
 	m, _ := d.admission.Member()
-	own := Description{Member: m, Entries: d.entriesInForce()}
+	own := Description{Member: m, Entries: d.quarantinesInForce()}
 	if err := d.config.Directory.Register(ctx, own); err != nil {
 		d.config.Logger.Warn("registration in the directory failed", "error", err.Error())
 		return err
@@ -206,18 +206,24 @@
 
 func (d *Daemon) recordAttempt(sender identifier.Incarnation) { d.gossiper.RecordAttemptFrom(sender) }
 
-// maxStoredEntries bounds the entries in a daemon's description and what a member that may
-// have missed some is sent.
-const maxStoredEntries = 20
+// maxEntriesInForce bounds the entries in a daemon's description and those that a member
+// which may have missed some is sent.
+const maxEntriesInForce = 20
 
 func (d *Daemon) entriesInForce() []quarantiner.Entry {
-	return d.admission.QuarantineEntries(maxStoredEntries)
+	return d.admission.QuarantineEntries(maxEntriesInForce)
 }
 
-// broadcastQuarantine sends entries to other daemons and stores those that restrict requests.
+// quarantinesInForce returns the entries that are stored. Suspects are not: a crash makes
+// one of each request that ran, and the next crash makes it one again.
+func (d *Daemon) quarantinesInForce() []quarantiner.Entry {
+	return slices.DeleteFunc(d.entriesInForce(), func(e quarantiner.Entry) bool { return e.Kind != quarantiner.Quarantined })
+}
+
+// broadcastQuarantine sends entries to other daemons and stores quarantines.
 func (d *Daemon) broadcastQuarantine(entries []quarantiner.Entry) {
 	d.gossiper.BroadcastQuarantine(entries)
-	if slices.ContainsFunc(entries, func(e quarantiner.Entry) bool { return e.Kind != quarantiner.Cleared }) {
+	if slices.ContainsFunc(entries, func(e quarantiner.Entry) bool { return e.Kind == quarantiner.Quarantined }) {
 		d.registration.request()
 	}
 }
--- a/internal/coordination/gossiper/pending_entry.go
+++ b/internal/coordination/gossiper/pending_entry.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
@@ -64,14 +65,23 @@
 	}
 }
 
+// maxBringers is the mean number of members that bring a returned one up to date, so that
+// what is sent after a restart of all does not grow with the square of the fleet.
+const maxBringers = 4
+
 // bringUpToDate sends the entries in force to members of the own service that may have
-// missed some.
+// missed some: all quarantines, and as many suspects as fit into the last datagram.
 func (g *Gossiper) bringUpToDate(returned []registrar.Member) {
 	if len(returned) == 0 {
 		return
 	}
 	own := g.own()
-	returned = slices.DeleteFunc(returned, func(m registrar.Member) bool { return m.Service != own.Service })
+	g.mu.Lock()
+	members := g.table.ActiveOf(g.config.Clock.Now(), registrar.KeyOf(own.Service))
+	g.mu.Unlock()
+	returned = slices.DeleteFunc(returned, func(m registrar.Member) bool {
+		return m.Service != own.Service || rand.IntN(max(1, members)) >= maxBringers
+	})
 	if len(returned) == 0 {
 		return
 	}
@@ -79,5 +89,8 @@
 		if data, ok := g.report(own, entries); ok {
 			g.send(returned, data, trafficReport)
 		}
+		if entries[len(entries)-1].Kind != quarantiner.Quarantined {
+			return
+		}
 	}
 }
