--- a/internal/state/quarantiner/quarantiner.go
+++ b/internal/state/quarantiner/quarantiner.go
@@ -13,9 +13,9 @@
 //
 // The admitter's BackendCrash action is passed as Crash, the end of an attempt that ran
 // alone as Complete, entries of other daemons as Remote. Each Broadcast action is
-// sent to the other daemons of the service; quarantines are stored. A daemon that starts gets what
-// InForce returns at the others. Each VerdictChanged action is passed to the admitter as Restrict, for
-// attempts that were queued before the verdict changed.
+// sent to the other daemons of the service; quarantines are stored. A daemon that starts
+// gets what InForce returns at the others. Each VerdictChanged action is passed to the
+// admitter as Restrict, for attempts that were queued before the verdict changed.
 //
 // # Convergence
 //
--- a/internal/transport/receiver/forward.go
+++ b/internal/transport/receiver/forward.go
@@ -76,13 +76,15 @@
 	if echo := response.Header.Peek(encoder.HeaderAttempt); len(echo) > 0 {
 		return string(echo) == id.String()
 	}
-	return !isShed(&response.Header) || !forwarder.Reused(response)
+	_, shed := shedOf(&response.Header)
+	return !shed || !forwarder.Reused(response)
 }
 
-// isShed reports whether the backend server says that it did not run an attempt.
-func isShed(header *fasthttp.ResponseHeader) bool {
+// shedOf returns the statement of a backend server that it did not run an attempt, if any.
+func shedOf(header *fasthttp.ResponseHeader) (encoder.Refusal, bool) {
 	var shed encoder.Refusal
-	return header.StatusCode() == fasthttp.StatusServiceUnavailable && shed.Decode(header) && shed.Outcome == encoder.NotRun
+	found := header.StatusCode() == fasthttp.StatusServiceUnavailable && shed.Decode(header) && shed.Outcome == encoder.NotRun
+	return shed, found
 }
 
 // hasCrashed reports whether the backend server crashed when it broke a connection:
@@ -174,8 +176,7 @@
 func refusalOf(result forwarder.Result, header *fasthttp.ResponseHeader) (encoder.Refusal, bool) {
 	switch result {
 	case forwarder.Answered:
-		var shed encoder.Refusal
-		if header.StatusCode() == fasthttp.StatusServiceUnavailable && shed.Decode(header) && shed.Outcome == encoder.NotRun {
+		if shed, found := shedOf(header); found {
 			return encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Shed, RetryAfterMs: shed.RetryAfterMs}, true
 		}
 		return encoder.Refusal{}, false
