--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -16,6 +16,8 @@
 	d    *deployment
 	m    *machine
 	http *http.Client
+	// key is the key of a tenant; empty means none.
+	key string
 }
 
 func newClient(d *deployment, m *machine) *client {
@@ -35,6 +37,9 @@
 	r.Host = host
 	r.Header.Set("X-Request-Id", q.id)
 	r.Header.Set("X-Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
+	if c.key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	c.d.record.send(q)
 	response, err := c.http.Do(r)
 	if err != nil {
--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -44,10 +44,11 @@
 	machines       []*machine
 }
 
+// place is a service and the zone of one of its instances.
+type place struct{ service, zone string }
+
 // services is the layout of the small deployments: three services in three zones.
-var services = []struct {
-	service, zone string
-}{
+var services = []place{
 	{"quotes", "zone-a"},
 	{"quotes", "zone-a"},
 	{"quotes", "zone-b"},
@@ -61,7 +62,7 @@
 }
 
 // newDeployment lays out the machines on free ports and starts the store.
-func newDeployment(r *record, work func(r *http.Request) time.Duration) (*deployment, error) {
+func newDeployment(r *record, layout []place, work func(r *http.Request) time.Duration) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -73,7 +74,7 @@
 	}
 	d.storeAddress = listener.Addr().String()
 	go func() { _ = http.Serve(listener, d.store) }()
-	for index, s := range services {
+	for index, s := range layout {
 		d.machines = append(d.machines, &machine{
 			name: fmt.Sprintf("sidecar-%s-%d", s.zone, index+1), zone: s.zone, service: s.service, ip: fmt.Sprintf("127.0.0.%d", 10+index),
 		})
@@ -207,9 +208,25 @@
 	timeout                     float64
 }
 
-// configuration encodes a configuration in the form of the pages.
+// tenant is a tenant of a configuration with one key.
+type tenant struct {
+	name, key   string
+	rate, burst float64
+}
+
+// configuration encodes a configuration without tenants in the form of the pages.
 func configuration(version int, routes ...route) []byte {
+	return configurationFor(version, nil, routes...)
+}
+
+// configurationFor encodes a configuration in the form of the pages.
+func configurationFor(version int, tenants []tenant, routes ...route) []byte {
 	var resources []any
+	for _, t := range tenants {
+		resources = append(resources, map[string]any{"Type": "Tenants", "Metadata": map[string]any{"Name": t.name}, "Spec": map[string]any{
+			"ApiKeys": []string{t.key}, "Priority": 1, "RatePerS": t.rate, "Burst": t.burst,
+		}})
+	}
 	for i, r := range routes {
 		resources = append(resources, map[string]any{"Type": "Routes", "Metadata": map[string]any{"Name": fmt.Sprintf("r-%d", i)}, "Spec": map[string]any{
 			"Host": r.host, "PathPrefix": r.prefix, "RouteType": r.kind, "TimeoutS": r.timeout, "TargetLatencyS": 0.3, "Priority": 1,
--- a/review/harness2/silent_store.go
+++ b/review/harness2/silent_store.go
@@ -24,7 +24,7 @@
 // that the old service of the moved route runs although they were sent later than
 // ConfigApplyS after the second acknowledgement, by machines in touch.
 func silentStore(trouble bool, r *record) (broken bool, verdict []string, err error) {
-	d, err := newDeployment(r, func(*http.Request) time.Duration { return 40 * time.Millisecond })
+	d, err := newDeployment(r, services, func(*http.Request) time.Duration { return 40 * time.Millisecond })
 	if err != nil {
 		return false, nil, err
 	}
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -67,6 +67,19 @@
 	s.add(s.topic("keyed.op"), []entry{{key, value, append(raw, value...)}})
 }
 
+// value returns the newest value of a key, nil if there is none.
+func (s *store) value(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var newest []byte
+	for _, e := range s.topic(name).records {
+		if e.key == key {
+			newest = e.value
+		}
+	}
+	return newest
+}
+
 // ServeHTTP answers one call.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
