--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(trouble bool, r *record) (broken bool, verdict []string, err error){
 	"silent-store": silentStore,
 	"hot-tenant":   hotTenant,
+	"turned-away":  turnedAway,
 }
 
 func main() {
--- a/review/harness2/silent_store.go
+++ b/review/harness2/silent_store.go
@@ -12,6 +12,7 @@
 const (
 	contactS     = 3.0
 	configApplyS = 2.0
+	maxStretchS  = 5.0
 )
 
 const (
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -36,9 +37,64 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{}
+	// busy holds the machines that are turned away with 503.
+	busy map[string]bool
+	// calls holds the time of the last call of each machine.
+	calls map[string]time.Time
 }
 
-func newStore() *store { return &store{topics: map[string]*topic{}, changed: make(chan struct{})} }
+func newStore() *store {
+	return &store{topics: map[string]*topic{}, changed: make(chan struct{}), busy: map[string]bool{}, calls: map[string]time.Time{}}
+}
+
+// handlerFor returns a handler that knows from which machine its calls come.
+func (s *store) handlerFor(machine string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls[machine] = time.Now()
+		s.mu.Unlock()
+		if s.isBusy(machine) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), machineKey{}, machine)))
+	})
+}
+
+// machineKey is the key of the calling machine in a context.
+type machineKey struct{}
+
+func (s *store) isBusy(machine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy[machine]
+}
+
+// turnAway sets the machines that are turned away. Their waiting reads are answered with 503.
+func (s *store) turnAway(machines ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = map[string]bool{}
+	for _, m := range machines {
+		s.busy[m] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// callersSince returns the machines that have called since a time.
+func (s *store) callersSince(since time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var machines []string
+	for m, at := range s.calls {
+		if at.After(since) {
+			machines = append(machines, m)
+		}
+	}
+	sort.Strings(machines)
+	return machines
+}
 
 // topic returns a topic. The caller holds the lock.
 func (s *store) topic(name string) *topic {
@@ -189,7 +245,12 @@
 func (s *store) read(w http.ResponseWriter, r *http.Request) {
 	from := number(r, "From")
 	timeout := time.After(time.Duration(number(r, "WaitMs")) * time.Millisecond)
+	machine, _ := r.Context().Value(machineKey{}).(string)
 	for waiting := true; ; {
+		if s.isBusy(machine) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		s.mu.Lock()
 		t, changed := s.topic(r.URL.Query().Get("Topic")), s.changed
 		end := uint64(len(t.records))
--- /dev/null
+++ b/review/harness2/turned_away.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// outage is how long the store turns all machines away, and staysAway how long it goes
+	// on to turn those away that have called it last.
+	outage    = 4500 * time.Millisecond
+	staysAway = 9 * time.Second
+	// lastCalls is the time before the end of the outage in which callers count.
+	lastCalls = 3 * time.Second
+	// maxShare bounds the machines that are turned away after the outage, of ten.
+	maxShare = 3
+)
+
+// turnedAway lets the store turn every machine away for some seconds. When it is back, it
+// still turns the machines away that went on calling it, three of ten at most, and serves the
+// others and the operator. The operator moves a route a second later. It counts the requests
+// that the old service runs although they were sent, at the machines that the store serves,
+// later than ConfigApplyS after the acknowledgement and later than ContactS after the outage.
+func turnedAway(trouble bool, r *record) (broken bool, verdict []string, err error) {
+	d, err := newDeployment(r, services, func(*http.Request) time.Duration { return 40 * time.Millisecond })
+	if err != nil {
+		return false, nil, err
+	}
+	defer d.stop()
+	routes := func(moved string) []route {
+		return []route{
+			{hostQuotes, "/lookup/", "quotes", "idempotent", 0.8},
+			{hostOffers, "/offer/", moved, "non_idempotent", 1},
+		}
+	}
+	d.store.put("config", configuration(4, routes("offers")...))
+	var names []string
+	for _, m := range d.machines {
+		names = append(names, m.name)
+		// The store is reached at an address of its own by each machine, so that it can tell
+		// them apart.
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return false, nil, err
+		}
+		go func() { _ = http.Serve(listener, d.store.handlerFor(m.name)) }()
+		if err := d.writeSettings(m, listener.Addr().String()); err != nil {
+			return false, nil, err
+		}
+		if err := d.startDaemon(m); err != nil {
+			return false, nil, err
+		}
+		if err := d.startInstance(m); err != nil {
+			return false, nil, err
+		}
+	}
+	if err := d.ready(10 * time.Second); err != nil {
+		return false, nil, err
+	}
+	time.Sleep(8 * time.Second) // Traffic starts 8 s after the machines do.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, m := range d.machines {
+		c := newClient(d, m)
+		go c.steady(ctx, 100*time.Millisecond, http.MethodPost, hostOffers, "/offer/", time.Second)
+		go c.steady(ctx, 400*time.Millisecond, http.MethodGet, hostQuotes, "/lookup/", 800*time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		d.store.turnAway(names...)
+		r.event("the store turns every machine away with 503")
+	}
+	time.Sleep(outage)
+	var away []string
+	if trouble {
+		away = d.store.callersSince(time.Now().Add(-lastCalls))
+		if len(away) > maxShare {
+			return false, nil, fmt.Errorf("%d machines have called the store in the last %s of the outage", len(away), lastCalls)
+		}
+		d.store.turnAway(away...)
+	}
+	back := r.event("the store serves the machines again, but %v", away)
+	time.Sleep(time.Second)
+	d.store.put("config", configuration(9, routes("payouts")...))
+	acknowledged := r.event("operator: version 00000009 acknowledged (%s/offer/ moves from offers to payouts)", hostOffers)
+	time.Sleep(staysAway - time.Second)
+	d.store.turnAway()
+	served := r.event("the store serves every machine")
+	time.Sleep(5 * time.Second)
+	cancel()
+	time.Sleep(2 * time.Second)
+
+	bound := max(acknowledged+configApplyS, back+contactS)
+	sent, late, stretched, last := 0, 0, 0, 0.0
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, q := range r.order {
+		if !strings.HasPrefix(q.path, "/offer/") || q.sent <= bound || slices.Contains(away, q.machine) {
+			continue
+		}
+		sent++
+		if slices.ContainsFunc(q.runs, func(x run) bool { return x.service == "offers" }) {
+			late++
+			last = max(last, q.sent)
+			if q.sent > acknowledged+configApplyS+maxStretchS {
+				stretched++
+			}
+		}
+	}
+	if sent == 0 {
+		return false, nil, fmt.Errorf("no request was sent after the bound")
+	}
+	verdict = []string{
+		fmt.Sprintf("store back at %.3f but for %v, version 00000009 acknowledged at %.3f, all machines served at %.3f (trouble: %v)", back, away, acknowledged, served, trouble),
+		fmt.Sprintf("bound: requests sent after %.3f (acknowledged + ConfigApplyS, store stable for ContactS)", bound),
+		fmt.Sprintf("requests for the moved route sent after the bound at the other machines: %d; run by the old service: %d; the last of these sent %.3f s after the bound", sent, late, max(0, last-bound)),
+		fmt.Sprintf("of these sent later than ConfigApplyS + MaxStretchS after the acknowledgement: %d", stretched),
+	}
+	return late > 0, verdict, nil
+}
