--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -187,6 +187,34 @@
 	return nil
 }
 
+// leadTime is the time from the start of the machines to that of the traffic.
+const leadTime = 8 * time.Second
+
+// start starts every daemon and instance, waits until the daemons are ready and until traffic
+// starts. storeAddress returns the address at which a machine reaches the store.
+func (d *deployment) start(storeAddress func(m *machine) (string, error)) error {
+	for _, m := range d.machines {
+		address, err := storeAddress(m)
+		if err != nil {
+			return err
+		}
+		if err := d.writeSettings(m, address); err != nil {
+			return err
+		}
+		if err := d.startDaemon(m); err != nil {
+			return err
+		}
+		if err := d.startInstance(m); err != nil {
+			return err
+		}
+	}
+	if err := d.ready(10 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(leadTime)
+	return nil
+}
+
 // stop kills every daemon and removes the folder.
 func (d *deployment) stop() {
 	for _, m := range d.machines {
--- a/review/harness2/hot_tenant.go
+++ b/review/harness2/hot_tenant.go
@@ -59,21 +59,9 @@
 	defer d.stop()
 	d.store.put("config", configurationFor(4, []tenant{{"tenant-1", "key-of-tenant-1", tenantRate, tenantBurst}},
 		route{hostQuotes, "/lookup/", "quotes", "idempotent", 0.8}))
-	for _, m := range d.machines {
-		if err := d.writeSettings(m, d.storeAddress); err != nil {
-			return false, nil, err
-		}
-		if err := d.startDaemon(m); err != nil {
-			return false, nil, err
-		}
-		if err := d.startInstance(m); err != nil {
-			return false, nil, err
-		}
-	}
-	if err := d.ready(10 * time.Second); err != nil {
+	if err := d.start(func(*machine) (string, error) { return d.storeAddress, nil }); err != nil {
 		return false, nil, err
 	}
-	time.Sleep(8 * time.Second) // Traffic starts 8 s after the machines do.
 	var clients []*client
 	for _, m := range d.machines {
 		c := newClient(d, m)
--- a/review/harness2/silent_store.go
+++ b/review/harness2/silent_store.go
@@ -43,21 +43,9 @@
 		}
 	}
 	d.store.put("config", configuration(4, routes("offers", 0.8)...))
-	for _, m := range d.machines {
-		if err := d.writeSettings(m, listener.Addr().String()); err != nil {
-			return false, nil, err
-		}
-		if err := d.startDaemon(m); err != nil {
-			return false, nil, err
-		}
-		if err := d.startInstance(m); err != nil {
-			return false, nil, err
-		}
-	}
-	if err := d.ready(10 * time.Second); err != nil {
+	if err := d.start(func(*machine) (string, error) { return listener.Addr().String(), nil }); err != nil {
 		return false, nil, err
 	}
-	time.Sleep(8 * time.Second) // Traffic starts 8 s after the machines do.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, m := range d.machines {
--- a/review/harness2/turned_away.go
+++ b/review/harness2/turned_away.go
@@ -40,30 +40,9 @@
 		}
 	}
 	d.store.put("config", configuration(4, routes("offers")...))
-	var names []string
-	for _, m := range d.machines {
-		names = append(names, m.name)
-		// The store is reached at an address of its own by each machine, so that it can tell
-		// them apart.
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return false, nil, err
-		}
-		go func() { _ = http.Serve(listener, d.store.handlerFor(m.name)) }()
-		if err := d.writeSettings(m, listener.Addr().String()); err != nil {
-			return false, nil, err
-		}
-		if err := d.startDaemon(m); err != nil {
-			return false, nil, err
-		}
-		if err := d.startInstance(m); err != nil {
-			return false, nil, err
-		}
-	}
-	if err := d.ready(10 * time.Second); err != nil {
+	if err := d.start(d.ownStoreAddress); err != nil {
 		return false, nil, err
 	}
-	time.Sleep(8 * time.Second) // Traffic starts 8 s after the machines do.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, m := range d.machines {
@@ -73,7 +52,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
-		d.store.turnAway(names...)
+		d.store.turnAway(d.names()...)
 		r.event("the store turns every machine away with 503")
 	}
 	time.Sleep(outage)
@@ -98,31 +77,67 @@
 	cancel()
 	time.Sleep(2 * time.Second)
 
-	bound := acknowledged + configApplyS
-	sent, late, stretched, last := 0, 0, 0, 0.0
+	count := countLate(r, "/offer/", "offers", away, acknowledged)
+	if count.sent == 0 {
+		return false, nil, fmt.Errorf("no request was sent after the bound")
+	}
+	verdict = []string{
+		fmt.Sprintf("end of the outage at %.3f; read by %d machines, %v turned away; version 00000009 acknowledged at %.3f; all machines served at %.3f (trouble: %v)", back, len(readers), away, acknowledged, served, trouble),
+		fmt.Sprintf("bound: requests sent after %.3f (acknowledged + ConfigApplyS)", acknowledged+configApplyS),
+		fmt.Sprintf("requests for the moved route sent after the bound at the other machines: %d; run by the old service: %d; the last of these sent %.3f s after the bound", count.sent, count.late, max(0, count.last-acknowledged-configApplyS)),
+		fmt.Sprintf("of these sent later than ConfigApplyS + MaxStretchS after the acknowledgement: %d", count.stretched),
+	}
+	return count.late > 0, verdict, nil
+}
+
+// ownStoreAddress opens an address at which one machine reaches the store, so that the store
+// can tell the machines apart.
+func (d *deployment) ownStoreAddress(m *machine) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(listener, d.store.handlerFor(m.name)) }()
+	return listener.Addr().String(), nil
+}
+
+// names returns the names of the machines.
+func (d *deployment) names() []string {
+	var names []string
+	for _, m := range d.machines {
+		names = append(names, m.name)
+	}
+	return names
+}
+
+// lateCount counts the requests that were sent later than a version's bound.
+type lateCount struct {
+	sent int
+	// late counts those that the old service ran, stretched those of them that were sent
+	// after the longest stretch of the bound.
+	late, stretched int
+	// last is when the last one of late was sent.
+	last float64
+}
+
+// countLate counts the requests with a path prefix that were sent later than ConfigApplyS
+// after an acknowledgement, but for those of some machines.
+func countLate(r *record, prefix, oldService string, without []string, acknowledged float64) (c lateCount) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, q := range r.order {
-		if !strings.HasPrefix(q.path, "/offer/") || q.sent <= bound || slices.Contains(away, q.machine) {
+		if !strings.HasPrefix(q.path, prefix) || q.sent <= acknowledged+configApplyS || slices.Contains(without, q.machine) {
 			continue
 		}
-		sent++
-		if slices.ContainsFunc(q.runs, func(x run) bool { return x.service == "offers" }) {
-			late++
-			last = max(last, q.sent)
-			if q.sent > acknowledged+configApplyS+maxStretchS {
-				stretched++
-			}
+		c.sent++
+		if !slices.ContainsFunc(q.runs, func(x run) bool { return x.service == oldService }) {
+			continue
+		}
+		c.late++
+		c.last = max(c.last, q.sent)
+		if q.sent > acknowledged+configApplyS+maxStretchS {
+			c.stretched++
 		}
 	}
-	if sent == 0 {
-		return false, nil, fmt.Errorf("no request was sent after the bound")
-	}
-	verdict = []string{
-		fmt.Sprintf("end of the outage at %.3f; read by %d machines, %v turned away; version 00000009 acknowledged at %.3f; all machines served at %.3f (trouble: %v)", back, len(readers), away, acknowledged, served, trouble),
-		fmt.Sprintf("bound: requests sent after %.3f (acknowledged + ConfigApplyS)", bound),
-		fmt.Sprintf("requests for the moved route sent after the bound at the other machines: %d; run by the old service: %d; the last of these sent %.3f s after the bound", sent, late, max(0, last-bound)),
-		fmt.Sprintf("of these sent later than ConfigApplyS + MaxStretchS after the acknowledgement: %d", stretched),
-	}
-	return late > 0, verdict, nil
+	return c
 }
