Read the store where evidence of the newest configuration is missing, not where an election says so

What callers saw: after an outage of the store that all daemons had noticed, only three daemons read it again.

Cause: a daemon whose last call failed says so in its reports and is elected only among the first three. Only a call clears the mark, and only elected daemons called. The question of the election, who reads, is not the one that matters: whether a daemon can still learn of a change.

The other daemons carry their mark since the outage.

Change: each daemon keeps the age of the evidence that its configuration is the newest, from its own read or from a member's status message with the same position (one more field). The first by rank polls all the time; the others read one after the other when their evidence is older than 1.2 s.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -23,6 +23,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/verifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -36,9 +37,9 @@
 type Source interface {
 	// Follow passes each newer snapshot to adopt until the context ends.
 	Follow(ctx context.Context, adopt func(*router.Snapshot))
-	// SetElected sets the function that reports whether this daemon reads from the
-	// source. The other daemons get the configuration from those that do.
-	SetElected(elected func() bool)
+	// SetSchedule sets what says when this daemon reads from the source. The other
+	// daemons get the configuration from those that do.
+	SetSchedule(Schedule)
 	// Reachable reports whether the last call was answered.
 	Reachable() bool
 	// Refresh makes Follow read again at once, because a connection may be broken
@@ -46,6 +47,21 @@
 	Refresh()
 }
 
+// Schedule says when a daemon reads from its source, and learns of the result.
+type Schedule interface {
+	// Wait waits until this daemon is to read, or until the context ends. CatchUp says that
+	// the source has more than Position.
+	Wait(ctx context.Context) (catchUp bool)
+	// Position returns the position of the configuration in force, which may come from
+	// another daemon.
+	Position() router.Position
+	// Succeed is called after a read. Age is how long ago the source had no more than what
+	// was read.
+	Succeed(age timer.Millis)
+	// Fail is called after a read without an answer.
+	Fail()
+}
+
 // ErrSuperseded is returned by Directory.Register if an entry of a higher incarnation
 // of this daemon is stored.
 var ErrSuperseded = errors.New("a run of this daemon with a higher incarnation is registered")
@@ -123,6 +139,7 @@
 	peers         *dispatcher.Peers
 	quotas        *quotas
 	rollouts      *rollouts
+	schedule      *schedule
 
 	callerServer         *exchanger.Server
 	peerServer           *exchanger.Server
@@ -158,11 +175,13 @@
 		OnAttempt:     d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
 	d.quotas = d.newQuotas()
+	d.schedule = newSchedule(clock, func() verifier.Place { return d.gossiper.Place() }, d.storePosition)
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
 		Address: config.Addresses.Reports, Clock: clock,
 		Self:     d.self,
 		Position: d.position, Ahead: d.scheduleFetch, Loaded: func(m registrar.Member) { d.ingress.RecordLoad(m) },
+		Evidence: d.schedule.evidence, Confirmed: d.schedule.confirm,
 		FailureDomain: config.FailureDomain, Uses: d.uses,
 		OwnRun:      d.recall,
 		Quarantined: d.admission.AddQuarantineEntries, InForce: d.entriesInForce, Logger: config.Logger,
@@ -177,7 +196,7 @@
 		Deciding: d.gossiper.Deciding, Reachable: config.Source.Reachable, Ask: d.gossiper.AskOutcomes,
 		ExposureShare: config.ExposureShare, Logger: config.Logger,
 	})
-	config.Source.SetElected(d.gossiper.Elected)
+	config.Source.SetSchedule(d.schedule)
 	d.ingress = dispatcher.NewIngress(dispatcher.IngressConfig{
 		Self: config.Node, Caller: config.Service, Incarnation: incarnation, FailureDomain: config.FailureDomain,
 		Clock: clock, Configuration: d.configuration, Members: d.gossiper, Peers: d.peers, Admission: d.admission,
@@ -223,6 +242,12 @@
 	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset, Era: snapshot.Era, Control: snapshot.Control.Position()}
 }
 
+// storePosition returns the position of the configuration in force in the source.
+func (d *Daemon) storePosition() router.Position {
+	snapshot := d.configuration.Snapshot()
+	return router.Position{Era: snapshot.Era, Offset: snapshot.Offset}
+}
+
 // adopt applies what is newer in a snapshot than in the current one.
 func (d *Daemon) adopt(next *router.Snapshot) {
 	before := d.configuration.Snapshot()
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -41,6 +41,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	memory := exchanger.NewMemory(d.config.BodyMemory)
 	metrics.GetOrCreateGauge("magnoliaknot_body_memory_bytes", func() float64 { return float64(memory.Used()) })
+	metrics.GetOrCreateGauge("magnoliaknot_evidence_age_seconds", d.schedule.evidenceSeconds)
 	d.callerServer = exchanger.NewServer(exchanger.ServerConfig{
 		Handler: d.ingress, Limits: d.callerLimits, Reject: d.reject, Memory: memory, Clock: d.clock, Logger: d.config.Logger,
 	})
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -32,6 +32,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/spreader"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/throttler"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/verifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -73,6 +74,11 @@
 	Position func() Position
 	// Ahead is called when a member has a newer configuration.
 	Ahead func(registrar.Member)
+	// Evidence returns the age of the evidence that this daemon's configuration is the
+	// newest, or false without any. Confirmed is called with the age of a member's evidence
+	// for a configuration that is not newer than this daemon's. Both may be nil.
+	Evidence  func() (timer.Millis, bool)
+	Confirmed func(age timer.Millis)
 	// Loaded is called with the state of each member whose datagram arrived, and with
 	// that of this daemon at each broadcast.
 	Loaded func(registrar.Member)
@@ -212,12 +218,12 @@
 	return g.table.Members()
 }
 
-// Elected reports whether this daemon is one of those that read the store.
-func (g *Gossiper) Elected() bool {
+// Place returns the place of this daemon among those that may read the store.
+func (g *Gossiper) Place() verifier.Place {
 	own := g.config.Self()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Elected(g.config.Clock.Now(), own)
+	return g.table.Place(g.config.Clock.Now(), own)
 }
 
 // ActiveCount returns the number of active daemons, this one included. In a large
@@ -306,10 +312,22 @@
 			Incarnation: own.Incarnation, Revision: own.Revision, Accepting: own.Accepting, StoreUnreachable: own.StoreUnreachable, Load: own.Load,
 			Generation: own.Generation, Service: registrar.KeyOf(own.Service), Fleet: fleet,
 		},
-		Position: position,
+		Position: position, Evidence: g.evidence(),
 	}.encode()
 }
 
+// evidence returns the age of this daemon's evidence for messages.
+func (g *Gossiper) evidence() evidenceAge {
+	if g.config.Evidence == nil {
+		return 0
+	}
+	age, known := g.config.Evidence()
+	if !known {
+		return 0
+	}
+	return newEvidenceAge(age)
+}
+
 // changed reports whether more than the load differs from the last broadcast.
 func (g *Gossiper) changed(own registrar.Member) bool {
 	lastSent := g.lastSent
@@ -328,7 +346,7 @@
 
 // report encodes a report.
 func (g *Gossiper) report(own registrar.Member, entries []quarantiner.Entry) ([]byte, bool) {
-	report := Report{Member: own, Position: g.config.Position(), Entries: entries}
+	report := Report{Member: own, Position: g.config.Position(), Evidence: g.evidence(), Entries: entries}
 	data, err := report.encode()
 	if err != nil || len(data) > maxReportBytes {
 		g.config.Logger.Error("report to other daemons not sent: it is too large or cannot be encoded", "bytes", len(data), "error", err)
@@ -418,13 +436,18 @@
 	}
 	g.bringUpToDate(returned)
 	g.config.Loaded(m)
-	g.checkPosition(status.Position, m)
+	g.checkPosition(status.Position, status.Evidence, m)
 }
 
-// checkPosition calls Ahead if a member has a newer configuration.
-func (g *Gossiper) checkPosition(theirs Position, m registrar.Member) {
-	if theirs.ahead(g.config.Position()) {
+// checkPosition calls Ahead if a member has a newer configuration, and else Confirmed if it
+// has evidence. Evidence for an earlier era of the store says nothing of the current one.
+func (g *Gossiper) checkPosition(theirs Position, evidence evidenceAge, m registrar.Member) {
+	own := g.config.Position()
+	switch age, known := evidence.age(); {
+	case theirs.ahead(own):
 		g.config.Ahead(m)
+	case known && theirs.Era == own.Era && g.config.Confirmed != nil:
+		g.config.Confirmed(age)
 	}
 }
 
@@ -463,5 +486,5 @@
 			g.queueEntries(added, 1)
 		}
 	}
-	g.checkPosition(report.Position, m)
+	g.checkPosition(report.Position, report.Evidence, m)
 }
--- a/internal/coordination/gossiper/message.go
+++ b/internal/coordination/gossiper/message.go
@@ -44,6 +44,7 @@
 type Report struct {
 	Member   registrar.Member    `json:"member"`
 	Position Position            `json:"position"`
+	Evidence evidenceAge         `json:"evidence,omitempty"`
 	Entries  []quarantiner.Entry `json:"entries,omitempty"`
 }
 
@@ -60,15 +61,15 @@
 type statusMessage struct {
 	registrar.StatusUpdate
 	Position Position
+	Evidence evidenceAge
 }
 
 // statusFields is the number of varints in a status message. The last optionalFields
 // may be missing in those of earlier versions, which ignore what follows the fields that
-// they know. The last controlFields are left out while they are zero.
+// they know. Evidence and the position of Control are left out while they are zero.
 const (
-	statusFields   = 16
-	optionalFields = 7
-	controlFields  = 2
+	statusFields   = 17
+	optionalFields = 8
 )
 
 func (p statusMessage) encode() []byte {
@@ -86,11 +87,15 @@
 		uint64(p.Incarnation), p.Revision, uint64(p.Position.Version), uint64(p.Position.Offset), flags,
 		uint64(p.Load.Running), uint64(p.Load.Queued), uint64(p.Load.Limit), uint64(p.Load.SlowdownPercent),
 		p.Generation, uint64(p.Service), uint64(p.Fleet), uint64(p.Load.StartDelayMs), uint64(p.Position.Era),
-		uint64(p.Position.Control.Era), uint64(p.Position.Control.Offset),
+		uint64(p.Position.Control.Era), uint64(p.Position.Control.Offset), uint64(p.Evidence),
 	}
 	sent := fields[:]
-	if p.Position.Control == (router.Position{}) {
-		sent = fields[:statusFields-controlFields]
+	switch {
+	case p.Evidence > 0:
+	case p.Position.Control != (router.Position{}):
+		sent = fields[:evidenceField]
+	default:
+		sent = fields[:controlEraField]
 	}
 	data := []byte{kindStatus}
 	for _, field := range sent {
@@ -107,6 +112,7 @@
 	eraField           = 13
 	controlEraField    = 14
 	controlOffsetField = 15
+	evidenceField      = 16
 )
 
 // checkCount returns an error if a field of a status message is out of its range.
@@ -158,5 +164,6 @@
 			Version: identifier.Version(fields[2]), Offset: identifier.Offset(fields[3]), Era: identifier.Era(fields[eraField]),
 			Control: router.Position{Era: identifier.Era(fields[controlEraField]), Offset: identifier.Offset(fields[controlOffsetField])},
 		},
+		Evidence: evidenceAge(fields[evidenceField]),
 	}, nil
 }
