Read the store when a newer configuration cannot be fetched from the member that reports it

Cause: its daemons heard the readers, so they did not read; each fetch failed, since a connection needs both directions; nothing followed from that.

Change: a failed fetch makes the daemon read the store within 0.2 s, whatever its rank, until it has a newer configuration. The pauses after failures of such a read do not depend on the others, as nobody reads for this daemon.

Why it works: what a daemon knows to lack and cannot get from members is in the store; if that is away too, nobody else could have given it.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -254,6 +254,7 @@
 	if !d.configuration.Adopt(next) {
 		return
 	}
+	d.schedule.satisfy()
 	current := d.configuration.Snapshot()
 	if before.Version > 0 && current.Era > before.Era {
 		d.restoreRegistration(current.Era)
--- a/internal/assembler/schedule.go
+++ b/internal/assembler/schedule.go
@@ -38,9 +38,9 @@
 	for ctx.Err() == nil {
 		place := s.place()
 		s.mu.Lock()
-		at, catchUp := s.state.Next(place)
+		now := s.clock.Now()
+		delay, catchUp := s.state.Next(place)-now, s.state.Demanded(now)
 		s.mu.Unlock()
-		delay := at - s.clock.Now()
 		if delay <= 0 {
 			countRead(catchUp)
 			return catchUp
@@ -93,6 +93,25 @@
 	s.state.Confirm(s.clock.Now() - age)
 }
 
+// demand makes the daemon read soon: a member has a newer configuration and cannot be asked
+// for it.
+func (s *schedule) demand() {
+	s.mu.Lock()
+	s.state.Demand(s.clock.Now())
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// satisfy ends a demand.
+func (s *schedule) satisfy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Satisfy()
+}
+
 // evidence returns the age of the latest evidence, or false without any.
 func (s *schedule) evidence() (timer.Millis, bool) {
 	s.mu.Lock()
--- a/internal/assembler/sync.go
+++ b/internal/assembler/sync.go
@@ -156,7 +156,8 @@
 }
 
 // scheduleFetch fetches the configuration of a member that has a newer one after a
-// delay, unless the configuration has changed by then.
+// delay, unless the configuration has changed by then. If the member does not answer, the
+// source is read.
 func (d *Daemon) scheduleFetch(m registrar.Member) {
 	if !d.newerMembers.add(m) {
 		return
@@ -169,24 +170,29 @@
 	time.AfterFunc((1 + timer.Millis(rand.Int64N(int64(delay)))).Duration(), func() {
 		defer d.newerMembers.done()
 		from, found := d.newerMembers.takeRandom(d.config.FailureDomain)
-		if found && d.configuration.Snapshot() == before {
-			d.fetchConfiguration(from)
+		if !found || d.configuration.Snapshot() != before {
+			return
+		}
+		if !d.fetchConfiguration(from) && d.configuration.Snapshot() == before {
+			d.schedule.demand()
 		}
 	})
 }
 
-// fetchConfiguration fetches the configuration of another daemon and adopts it.
-func (d *Daemon) fetchConfiguration(m registrar.Member) {
+// fetchConfiguration fetches the configuration of another daemon and adopts it. It reports
+// whether the daemon answered.
+func (d *Daemon) fetchConfiguration(m registrar.Member) bool {
 	body, err := d.get(m, pathConfiguration)
 	if err == nil {
 		var snapshot *router.Snapshot
 		if snapshot, err = decodeSnapshot(body); err == nil {
 			d.config.Logger.Info("configuration fetched from a member", "member", m.Node, "version", snapshot.Version, "era", snapshot.Era, "offset", snapshot.Offset)
 			d.adopt(snapshot.Index())
-			return
+			return true
 		}
 	}
 	d.config.Logger.Warn("fetching the configuration of a member failed", "member", m.Node, "error", err.Error())
+	return false
 }
 
 // fetchMembers fetches the members that another daemon knows. It reports whether that
