Check the heads of responses byte by byte before fasthttp reads them

What callers saw (reports of operators): an answer with the status 000, which reached them as 200; answers whose head had a name with a blank or a control byte, passed on with that line or with a body that was not the instance's.

Cause: fasthttp accepts such heads. A status of 0 counts as 200 and one below 200 as interim; "Content-Length : 5" is a length, "Content Length: 5" is none; a length beside chunks is ignored.

Change: internal/protocol/validator accepts the grammar of RFC 9112 only: status 100 to 599 without 101, tokens as names, no control bytes, one way to tell the length. The connections of exchanger (answers, health page, store, other daemons) and of forwarder (own interface) check heads as they arrive; chunk extensions and trailers too. What fails is an incomplete answer.

--- /dev/null
+++ b/internal/protocol/validator/validator.go
@@ -0,0 +1,176 @@
+// Package validator checks the heads of HTTP/1.1 responses byte by byte, as they arrive.
+//
+// HTTP libraries tolerate much in a head: a status below 100, blanks in the names of
+// fields, fields that contradict each other about the length of the body. What one reader
+// tolerates another one reads differently, so a response that is passed on has to be
+// unambiguous: the grammar of RFC 9112, without what it leaves to the recipient's
+// discretion but for folded fields, which fasthttp unfolds.
+//
+// # Usage
+//
+//	var head validator.ResponseHead
+//	for {
+//		data = append(data, more...)
+//		if end, err := head.Check(data); err != nil || end > 0 {
+//			break // Invalid, or the head is data[:end].
+//		}
+//	}
+//
+// A ResponseHead is for one head and not safe for concurrent use.
+package validator
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("validator")
+
+const (
+	// minStatus and maxStatus bound a status (RFC 9110, section 15).
+	minStatus = "100"
+	maxStatus = "599"
+	// switchingProtocols is never requested, and what follows it would not be HTTP.
+	switchingProtocols = "101"
+	statusDigits       = 3
+	// maxLengthDigits keeps a content length within an int64.
+	maxLengthDigits = 18
+	// deleteByte is the control byte above the printable ASCII characters.
+	deleteByte = 0x7f
+)
+
+// ResponseHead checks the head of one response.
+type ResponseHead struct {
+	// next is the start of the first line that has not been checked.
+	next   int
+	status string
+	// contentLength and transferEncoding are the values of these fields, empty without one.
+	contentLength, transferEncoding string
+	// foldable says that the last line is a field that another line may continue.
+	foldable bool
+}
+
+// Check checks the complete lines at the beginning of data, which holds the bytes of
+// earlier calls and those that have arrived since. It returns the length of the head with
+// its empty line, or 0 if that has not arrived.
+func (h *ResponseHead) Check(data []byte) (end int, err error) {
+	for {
+		length := bytes.IndexByte(data[h.next:], '\n')
+		if length < 0 {
+			return 0, nil
+		}
+		line, found := bytes.CutSuffix(data[h.next:h.next+length], []byte{'\r'})
+		if !found {
+			return 0, Error.New("a line ends without a carriage return")
+		}
+		h.next += length + 1
+		switch {
+		case h.status == "":
+			err = h.checkStatusLine(line)
+		case len(line) == 0:
+			return h.next, nil
+		default:
+			err = h.checkField(line)
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// Interim reports whether another head follows this one, whose end Check has returned.
+func (h *ResponseHead) Interim() bool { return h.status < "200" }
+
+func (h *ResponseHead) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" {
+		return Error.New("status line has version %.20q", version)
+	}
+	status, reason, _ := bytes.Cut(rest, []byte{' '})
+	if len(status) != statusDigits || !isNumber(status) || string(status) < minStatus || string(status) > maxStatus || string(status) == switchingProtocols {
+		return Error.New("status line has status %.20q", status)
+	}
+	h.status = string(status)
+	return CheckValue(reason)
+}
+
+func (h *ResponseHead) checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		if !h.foldable {
+			return Error.New("line %.40q continues no field", line)
+		}
+		return CheckValue(line)
+	}
+	name, value, found := bytes.Cut(line, []byte{':'})
+	if !found || !isToken(name) {
+		return Error.New("field name in %.40q is invalid", line)
+	}
+	if err := CheckValue(value); err != nil {
+		return err
+	}
+	h.foldable = false
+	text := strings.ToLower(string(bytes.Trim(value, " \t")))
+	switch strings.ToLower(string(name)) {
+	case "content-length":
+		if !isNumber([]byte(text)) || len(text) > maxLengthDigits || h.contentLength != "" && h.contentLength != text {
+			return Error.New("content length is %.40q, %.40q before", text, h.contentLength)
+		}
+		h.contentLength = text
+	case "transfer-encoding":
+		if text != "chunked" || h.transferEncoding != "" {
+			return Error.New("transfer encoding is %.40q, %.40q before", text, h.transferEncoding)
+		}
+		h.transferEncoding = text
+	default:
+		h.foldable = true
+	}
+	if h.contentLength != "" && h.transferEncoding != "" {
+		return Error.New("both a content length and a transfer encoding are given")
+	}
+	return nil
+}
+
+// CheckTrailer checks a line of the trailer section of a chunked body, without its line
+// break.
+func CheckTrailer(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte{':'})
+	if !found || !isToken(name) {
+		return Error.New("trailer field name in %.40q is invalid", line)
+	}
+	return CheckValue(value)
+}
+
+// CheckValue returns an error if the value of a field or the extensions of a chunk have a
+// control byte.
+func CheckValue(value []byte) error {
+	for _, b := range value {
+		if b < ' ' && b != '\t' || b == deleteByte {
+			return Error.New("value %.40q has a control byte", value)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a name consists of the characters that names may have (RFC 9110,
+// section 5.6.2).
+func isToken(name []byte) bool {
+	for _, b := range name {
+		isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		if !isLetter && (b < '0' || b > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+func isNumber(text []byte) bool {
+	for _, b := range text {
+		if b < '0' || b > '9' {
+			return false
+		}
+	}
+	return len(text) > 0
+}
--- a/internal/transport/exchanger/bodyreader.go
+++ b/internal/transport/exchanger/bodyreader.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/validator"
 )
 
 // Values of fasthttp's ContentLength for bodies without a length.
@@ -107,7 +109,10 @@
 	if err != nil {
 		return err
 	}
-	digits, _, _ := bytes.Cut(line, []byte{';'})
+	digits, extensions, _ := bytes.Cut(line, []byte{';'})
+	if validator.CheckValue(extensions) != nil {
+		return errFraming
+	}
 	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), hexadecimal, chunkSizeBits)
 	if err != nil {
 		return errFraming
@@ -126,6 +131,9 @@
 		if len(line) == 0 {
 			return io.EOF
 		}
+		if validator.CheckTrailer(line) != nil {
+			return errFraming
+		}
 	}
 }
 
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/validator"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -31,8 +32,6 @@
 	// keepAliveMargin is subtracted from the idle timeout that a destination
 	// announces in whole seconds.
 	keepAliveMargin = timer.Second
-	// minFinalStatus is the lowest status that is not interim (1xx).
-	minFinalStatus = 200
 )
 
 // connection is a client connection; it carries one request at a time.
@@ -166,10 +165,11 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return c.fail(err, false, ConnectionBroken)
 		}
-		if err := header.Read(c.reader); err != nil {
+		interim, err := c.readHead(header)
+		if err != nil {
 			return c.fail(err, false, Incomplete)
 		}
-		if header.StatusCode() >= minFinalStatus {
+		if !interim {
 			return Answered
 		}
 	}
@@ -177,6 +177,28 @@
 	return Incomplete
 }
 
+// readHead reads the head of a response after it has checked its bytes, since fasthttp
+// accepts heads that other readers understand differently. It reports whether the response
+// is an interim one.
+func (c *connection) readHead(header *fasthttp.ResponseHeader) (interim bool, err error) {
+	var head validator.ResponseHead
+	for {
+		// The buffer bounds the head: Peek fails if more than its size is needed.
+		arrived, _ := c.reader.Peek(c.reader.Buffered())
+		end, err := head.Check(arrived)
+		if err != nil {
+			return false, err
+		}
+		if end > 0 {
+			break
+		}
+		if _, err := c.reader.Peek(len(arrived) + 1); err != nil {
+			return false, err
+		}
+	}
+	return head.Interim(), header.Read(c.reader)
+}
+
 // receiveBody reads the body of the call's response: up to call.BufferLimit or to the
 // end of the available memory if the call streams, and otherwise as a whole.
 func (c *connection) receiveBody(call *Call) Result {
--- a/internal/transport/exchanger/cut_test.go
+++ b/internal/transport/exchanger/cut_test.go
@@ -84,10 +84,15 @@
 func receiveCut(pool *Pool, stream bool) (string, bool) {
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	request.SetRequestURI("http://test/")
-	call := &Call{Request: request, Response: response, Deadline: time.Now().Add(5 * time.Second), Stream: stream}
+	return receiveCall(pool, &Call{Request: request, Response: response, Stream: stream})
+}
+
+// receiveCall returns the body of the answer to a call, and whether it is complete.
+func receiveCall(pool *Pool, call *Call) (string, bool) {
+	call.Deadline = time.Now().Add(5 * time.Second)
 	switch pool.Do(call) {
 	case Answered:
-		return string(response.Body()), true
+		return string(call.Response.Body()), true
 	case Streaming:
 		var body strings.Builder
 		buffer := make([]byte, 3)
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/validator"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 )
 
@@ -44,6 +45,11 @@
 	// unwritten is set if the first write of a request wrote no byte.
 	unwritten bool
 	eof       bool
+	// head holds the bytes of a head that has not arrived as a whole, and headState what was
+	// checked of them. They are not used once headEnded is set.
+	head      []byte
+	headState validator.ResponseHead
+	headEnded bool
 	// requests counts those that were written. The next one may begin before it is read.
 	requests atomic.Int64
 }
@@ -69,6 +75,7 @@
 	if n > 0 {
 		if first {
 			c.requests.Add(1)
+			c.head, c.headState, c.headEnded = nil, validator.ResponseHead{}, false
 		}
 		c.phase = phaseWritten
 	}
@@ -76,12 +83,16 @@
 	return n, err
 }
 
-// Read records the start of the response and the end of the stream.
+// Read records the start of the response and the end of the stream. It returns an error
+// instead of bytes that are no head of a response, which fasthttp might accept.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n > 0 {
 		c.phase = phaseAnswered
 		c.lastUsed = time.Now()
+		if invalid := c.checkHead(data[:n]); invalid != nil {
+			return 0, invalid
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		c.eof = true
@@ -89,6 +100,26 @@
 	return n, err
 }
 
+// checkHead checks the bytes of the head of a response, and of the interim responses
+// before it.
+func (c *connection) checkHead(arrived []byte) error {
+	if c.headEnded {
+		return nil
+	}
+	c.head = append(c.head, arrived...)
+	for {
+		end, err := c.headState.Check(c.head)
+		if err != nil || end == 0 {
+			return err
+		}
+		if !c.headState.Interim() {
+			c.head, c.headEnded = nil, true
+			return nil
+		}
+		c.head, c.headState = c.head[end:], validator.ResponseHead{}
+	}
+}
+
 // LocalAddr returns an address that refers to the connection.
 func (c *connection) LocalAddr() net.Addr { return &c.address }
 
