Take no end of the stream for the end of a body while the request is not written

What callers saw (a report of operators): an instance answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; callers got that part as a complete answer.

Cause: a reset is reported to one system call. The write of the upload got it, and the read after it an end of the stream, which ends a body without a length.

Change: such a body ends with the stream only if the request was written whole and without an error; otherwise the answer is incomplete.

--- a/internal/transport/exchanger/bodyreader.go
+++ b/internal/transport/exchanger/bodyreader.go
@@ -46,6 +46,9 @@
 	// content and framing count the bytes read.
 	content, framing int64
 	err              error
+	// endsBody reports whether the end of the connection ends a body without a length. Nil
+	// means that it does.
+	endsBody func() bool
 }
 
 func newBodyReader(reader *bufio.Reader, length int, limit int64) *bodyReader {
@@ -88,6 +91,9 @@
 		return errBodyTooLarge
 	}
 	if b.length == lengthUntilClose {
+		if errors.Is(err, io.EOF) && b.endsBody != nil && !b.endsBody() {
+			return io.ErrUnexpectedEOF
+		}
 		return err
 	}
 	b.remaining -= n
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -29,6 +29,8 @@
 	// maxDiscarded bounds the body of a response to another request.
 	maxDiscarded = 1 << 20
 	readBuffer   = 8 << 10
+	// maxWriteReturn is how long the result of a write that has ended may take to arrive.
+	maxWriteReturn = 100 * timer.Millis(1)
 	// keepAliveMargin is subtracted from the idle timeout that a destination
 	// announces in whole seconds.
 	keepAliveMargin = timer.Second
@@ -113,6 +115,21 @@
 	}
 }
 
+// requestWritten reports, at the end of the stream, whether the whole request was written.
+// A reset while it is being written is reported to the write only; the read after it finds
+// a regular end.
+func (c *connection) requestWritten() bool {
+	timeout := time.NewTimer(maxWriteReturn.Duration())
+	defer timeout.Stop()
+	select {
+	case err := <-c.written:
+		c.written <- err // For settleWrite.
+		return err == nil
+	case <-timeout.C:
+		return false
+	}
+}
+
 // countingWriter counts the bytes written to a connection.
 type countingWriter struct {
 	net.Conn
@@ -210,6 +227,7 @@
 	}
 	length := header.ContentLength()
 	reader := newBodyReader(c.reader, length, call.bodyLimit())
+	reader.endsBody = c.requestWritten
 	if call.Stream && int64(length) > call.BufferLimit && reader.err == nil {
 		return c.stream(call, reader, nil)
 	}
