Compare the checksum of a fetched configuration before it is adopted

Of a configuration with one bit changed, some 270 variants were adopted with another version, offset or route.

Cause: gzip's checksum stands at the end of the data, and the JSON decoder stopped before it.

--- a/internal/assembler/sync.go
+++ b/internal/assembler/sync.go
@@ -73,8 +73,16 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	// The checksum is compared at the end of the data only.
+	text, err := io.ReadAll(io.LimitReader(compressed, maxConfigurationBytes+1))
+	switch {
+	case err != nil:
+		return nil, Error.Wrap(err)
+	case len(text) > maxConfigurationBytes:
+		return nil, Error.New("configuration of more than %d bytes", maxConfigurationBytes)
+	}
 	snapshot := &router.Snapshot{}
-	if err := json.NewDecoder(io.LimitReader(compressed, maxConfigurationBytes)).Decode(snapshot); err != nil {
+	if err := json.Unmarshal(text, snapshot); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	return snapshot, nil
