Take no answer of the store that is older than the configuration in force for evidence

Change: such an answer counts as a read that failed, with its pause, so that others read in its place; the store still counts as reachable.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -175,7 +175,10 @@
 		OnAttempt:     d.recordAttempt, BroadcastQuarantine: d.broadcastQuarantine, Logger: config.Logger,
 	})
 	d.quotas = d.newQuotas()
-	d.schedule = newSchedule(clock, func() verifier.Place { return d.gossiper.Place() }, d.storePosition)
+	d.schedule = newSchedule(
+		clock, func() verifier.Place { return d.gossiper.Place() },
+		func() router.Position { return d.configuration.Snapshot().Position() },
+	)
 	var err error
 	d.gossiper, err = gossiper.Listen(gossiper.Config{
 		Address: config.Addresses.Reports, Clock: clock,
@@ -242,12 +245,6 @@
 	return gossiper.Position{Version: snapshot.Version, Offset: snapshot.Offset, Era: snapshot.Era, Control: snapshot.Control.Position()}
 }
 
-// storePosition returns the position of the configuration in force in the source.
-func (d *Daemon) storePosition() router.Position {
-	snapshot := d.configuration.Snapshot()
-	return router.Position{Era: snapshot.Era, Offset: snapshot.Offset}
-}
-
 // adopt applies what is newer in a snapshot than in the current one.
 func (d *Daemon) adopt(next *router.Snapshot) {
 	before := d.configuration.Snapshot()
--- a/internal/coordination/gossiper/decision.go
+++ b/internal/coordination/gossiper/decision.go
@@ -21,8 +21,8 @@
 	return now - d.since
 }
 
-// Deciding reports whether this daemon decides on roll-outs: it is the first of the
-// elected daemons that reaches the store. Called repeatedly, it asks better ranked members
+// Deciding reports whether this daemon decides on roll-outs: it is the first by rank of
+// those that reach the store. Called repeatedly, it asks better ranked members
 // that have not reported lately whether they still run.
 func (g *Gossiper) Deciding() bool {
 	own := g.config.Self()
