validator: one reading of a field for heads and trailers, no copies of each field

Behaviour is unchanged. Heads are checked for every answer, and each field's name and value were copied and lowered though only two fields are looked at. Trailers had the same check a second time.

--- a/internal/protocol/validator/validator.go
+++ b/internal/protocol/validator/validator.go
@@ -42,13 +42,22 @@
 	deleteByte = 0x7f
 )
 
+// Names and values of fields that tell the length of a body.
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+	chunked          = []byte("chunked")
+)
+
 // ResponseHead checks the head of one response.
 type ResponseHead struct {
 	// next is the start of the first line that has not been checked.
 	next   int
 	status string
-	// contentLength and transferEncoding are the values of these fields, empty without one.
-	contentLength, transferEncoding string
+	// contentLength is the value of that field, empty without one.
+	contentLength string
+	// chunked says that there is a transfer encoding.
+	chunked bool
 	// foldable says that the last line is a field that another line may continue.
 	foldable bool
 }
@@ -104,30 +113,27 @@
 		}
 		return CheckValue(line)
 	}
-	name, value, found := bytes.Cut(line, []byte{':'})
-	if !found || !isToken(name) {
-		return Error.New("field name in %.40q is invalid", line)
-	}
-	if err := CheckValue(value); err != nil {
+	name, value, err := splitField(line)
+	if err != nil {
 		return err
 	}
 	h.foldable = false
-	text := strings.ToLower(string(bytes.Trim(value, " \t")))
-	switch strings.ToLower(string(name)) {
-	case "content-length":
-		if !isNumber([]byte(text)) || len(text) > maxLengthDigits || h.contentLength != "" && h.contentLength != text {
+	text := bytes.Trim(value, " \t")
+	switch {
+	case bytes.EqualFold(name, contentLength):
+		if !isNumber(text) || len(text) > maxLengthDigits || h.contentLength != "" && h.contentLength != string(text) {
 			return Error.New("content length is %.40q, %.40q before", text, h.contentLength)
 		}
-		h.contentLength = text
-	case "transfer-encoding":
-		if text != "chunked" || h.transferEncoding != "" {
-			return Error.New("transfer encoding is %.40q, %.40q before", text, h.transferEncoding)
+		h.contentLength = string(text)
+	case bytes.EqualFold(name, transferEncoding):
+		if !bytes.EqualFold(text, chunked) || h.chunked {
+			return Error.New("transfer encoding is %.40q, chunked before: %v", text, h.chunked)
 		}
-		h.transferEncoding = text
+		h.chunked = true
 	default:
 		h.foldable = true
 	}
-	if h.contentLength != "" && h.transferEncoding != "" {
+	if h.contentLength != "" && h.chunked {
 		return Error.New("both a content length and a transfer encoding are given")
 	}
 	return nil
@@ -136,11 +142,17 @@
 // CheckTrailer checks a line of the trailer section of a chunked body, without its line
 // break.
 func CheckTrailer(line []byte) error {
+	_, _, err := splitField(line)
+	return err
+}
+
+// splitField returns the name and the value of a field.
+func splitField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !isToken(name) {
-		return Error.New("trailer field name in %.40q is invalid", line)
+		return nil, nil, Error.New("field name in %.40q is invalid", line)
 	}
-	return CheckValue(value)
+	return name, value, CheckValue(value)
 }
 
 // CheckValue returns an error if the value of a field or the extensions of a chunk have a
--- a/internal/transport/forwarder/endless_test.go
+++ b/internal/transport/forwarder/endless_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/tester"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -68,25 +69,12 @@
 // closes or 256 MB are sent.
 func endlessServer(t *testing.T, start, repeated string) identifier.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		_, _ = conn.Read(make([]byte, 1<<10))
-		_, _ = io.WriteString(conn, start)
-		block := strings.Repeat(repeated, 1+(64<<10)/len(repeated))
-		for range 256 << 20 / len(block) {
-			if _, err := io.WriteString(conn, block); err != nil {
-				return
-			}
+	block := strings.Repeat(repeated, 1+(64<<10)/len(repeated))
+	return tester.StartServer(t, func(conn net.Conn, _ *fasthttp.Request) bool {
+		_, err := io.WriteString(conn, start)
+		for sent := 0; err == nil && sent < 256<<20; sent += len(block) {
+			_, err = io.WriteString(conn, block)
 		}
-	}()
-	return identifier.Address(listener.Addr().String())
+		return false
+	})
 }
