--- a/internal/protocol/validator/validator.go
+++ b/internal/protocol/validator/validator.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// Size returns the length of the head, whose end Check has returned.
+func (h *ResponseHead) Size() int { return h.next }
+
 // Interim reports whether another head follows this one, whose end Check has returned.
 func (h *ResponseHead) Interim() bool { return h.status < "200" }
 
@@ -166,18 +169,22 @@
 	return nil
 }
 
-// isToken reports whether a name consists of the characters that names may have (RFC 9110,
-// section 5.6.2).
+// isToken reports whether a name consists of the characters that names may have.
 func isToken(name []byte) bool {
 	for _, b := range name {
-		isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
-		if !isLetter && (b < '0' || b > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+		if !IsTokenByte(b) {
 			return false
 		}
 	}
 	return len(name) > 0
 }
 
+// IsTokenByte reports whether names may have a character (RFC 9110, section 5.6.2).
+func IsTokenByte(b byte) bool {
+	isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
+	return isLetter || b >= '0' && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 func isNumber(text []byte) bool {
 	for _, b := range text {
 		if b < '0' || b > '9' {
