--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -111,20 +111,31 @@
 	Notice timer.Millis
 	// LoadCheck is how long the start of an attempt waits for a check of the load.
 	LoadCheck timer.Millis
-	// Bodies bound the bodies of responses, BodyMemory the bytes of all bodies that are
-	// buffered at the same time.
-	Bodies     dispatcher.BodyLimits
-	BodyMemory int64
-	Dialect    dispatcher.Dialect
-	Source     Source
-	Directory  Directory
-	Control    ControlStore
+	// Bodies bound the bodies of responses.
+	Bodies dispatcher.BodyLimits
+	// Memory bounds what connections, requests and responses hold at the same time.
+	Memory *exchanger.Memory
+	// Connections bound the open connections.
+	Connections ConnectionLimits
+	Dialect     dispatcher.Dialect
+	Source      Source
+	Directory   Directory
+	Control     ControlStore
 	// ExposureShare is the share of requests that a bad version in a roll-out may get; zero
 	// means the default.
 	ExposureShare float64
 	Logger        *slog.Logger
 }
 
+// ConnectionLimits bound the open connections by who opened them. Zero has no bound.
+type ConnectionLimits struct {
+	Callers, Peers int
+	// Metrics bounds the connections of those who read the metrics.
+	Metrics int
+	// Outgoing bounds the connections to other daemons and to the backend server.
+	Outgoing int64
+}
+
 // Daemon runs beside one backend server.
 type Daemon struct {
 	config Config
@@ -155,10 +166,14 @@
 // New builds a daemon.
 func New(config Config) (*Daemon, error) {
 	clock := timer.NewBoot()
+	var sockets *exchanger.Sockets
+	if config.Connections.Outgoing > 0 {
+		sockets = exchanger.NewSockets(config.Connections.Outgoing)
+	}
 	d := &Daemon{
 		config: config, clock: clock,
 		configuration: router.NewHolder(),
-		peers:         dispatcher.NewPeers(),
+		peers:         dispatcher.NewPeers(config.Memory, sockets),
 		registration:  newRegistration(),
 	}
 	incarnation := identifier.NewIncarnation(clock.Wall())
@@ -169,6 +184,7 @@
 			Peer: config.Addresses.Peers, Report: config.Addresses.Reports, Service: config.Service,
 		},
 		Address: config.Addresses.Backend, Clock: timer.NewSteady(clock), Configuration: d.configuration, Dialect: config.Dialect, Bodies: config.Bodies,
+		Memory: config.Memory, Sockets: sockets,
 		LoadCheckTimeout: config.LoadCheck, OnChange: d.triggerBroadcast,
 		OnLeave:       d.registration.request, // Stored in the directory, so that the leave survives a restart of the daemon.
 		RecallTimeout: recallTimeout,
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/dispatcher"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -23,10 +22,22 @@
 	// exitReserve is the part of the grace period that is reserved for the exit.
 	exitReserve      = 500 * timer.Millis(1)
 	stopPollInterval = 20 * timer.Millis(1)
-	// peerHeaderBytes leaves room for the daemon's own headers beside those of callers.
-	peerHeaderBytes = 32 << 10
+	// peerHeaders is how much larger the head of an attempt may be than that of a request:
+	// daemons add fields and end each line in a carriage return.
+	peerHeaders     = 2
 	peerBodyBytes   = 1 << 28
 	peerIdleTimeout = 30 * timer.Second
+	// metricsHeaderBytes is the largest head of a request for the metrics.
+	metricsHeaderBytes = 16 << 10
+	// noRoomRetryAfter is about the time that most requests hold their memory.
+	noRoomRetryAfter = 200 * timer.Millis(1)
+)
+
+// Parts of the memory, in percent. Callers leave some to the attempts of other daemons, and
+// both leave some to the backend server's announcements and to health checks.
+const (
+	callersPercent = 85
+	peersPercent   = 95
 )
 
 // Limits of callers' requests that apply until a configuration sets them.
@@ -39,24 +50,27 @@
 
 // Run serves until the context ends or a server fails, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
-	memory := exchanger.NewMemory(d.config.BodyMemory)
-	metrics.GetOrCreateGauge("magnoliaknot_body_memory_bytes", func() float64 { return float64(memory.Used()) })
+	memory, names := d.config.Memory, dispatcher.NewNames(d.config.Dialect)
+	metrics.GetOrCreateGauge("magnoliaknot_memory_reserved_bytes", func() float64 { return float64(memory.Used()) })
 	metrics.GetOrCreateGauge("magnoliaknot_evidence_age_seconds", d.schedule.evidenceSeconds)
 	d.callerServer = exchanger.NewServer(exchanger.ServerConfig{
-		Handler: d.ingress, Limits: d.callerLimits, Reject: d.reject, Memory: memory, Clock: d.clock, Logger: d.config.Logger,
+		Handler: d.ingress, Limits: d.callerLimits, Reject: d.rejectCaller, Names: names, Clock: d.clock, Logger: d.config.Logger,
+		Memory: memory.Part(callersPercent), MaxConnections: d.config.Connections.Callers,
 	})
 	d.peerServer = exchanger.NewServer(exchanger.ServerConfig{
-		Handler: exchanger.HandlerFunc(d.servePeer), Limits: peerLimits, Reject: d.reject, Memory: memory, Clock: d.clock, Logger: d.config.Logger,
+		Handler: exchanger.HandlerFunc(d.servePeer), Limits: d.peerLimits, Reject: rejectPeer, Names: names, Clock: d.clock, Logger: d.config.Logger,
+		Memory: memory.Part(peersPercent), MaxConnections: d.config.Connections.Peers,
 	})
 	metricsServer := exchanger.NewServer(exchanger.ServerConfig{
-		Handler: exchanger.HandlerFunc(serveMetrics), Limits: peerLimits, Reject: d.reject, Clock: d.clock, Logger: d.config.Logger,
+		Handler: exchanger.HandlerFunc(serveMetrics), Limits: metricsLimits, Reject: rejectPeer, Clock: d.clock, Logger: d.config.Logger,
+		Memory: memory, MaxConnections: d.config.Connections.Metrics,
 	})
 	failed := make(chan error, 3)
 	for _, s := range []struct {
 		server  *exchanger.Server
 		address identifier.Address
 	}{{d.callerServer, d.config.Addresses.Callers}, {d.peerServer, d.config.Addresses.Peers}, {metricsServer, d.config.Addresses.Metrics}} {
-		listener, err := net.Listen("tcp4", string(s.address))
+		listener, err := exchanger.Listen("tcp4", s.address)
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -130,28 +144,48 @@
 			HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout,
 		}
 	}
-	return exchanger.Limits(limits)
+	return exchanger.Limits{
+		HeaderBytes: limits.HeaderBytes, BodyBytes: limits.BodyBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	}
 }
 
-func peerLimits() exchanger.Limits {
+func (d *Daemon) peerLimits() exchanger.Limits {
 	return exchanger.Limits{
-		HeaderBytes: peerHeaderBytes, BodyBytes: peerBodyBytes, HeaderTimeout: peerIdleTimeout, IdleTimeout: peerIdleTimeout,
+		HeaderBytes: peerHeaders * d.callerLimits().HeaderBytes, BodyBytes: peerBodyBytes, HeaderTimeout: peerIdleTimeout, IdleTimeout: peerIdleTimeout,
 	}
 }
 
-// reject answers a request that could not be read. No part of it was forwarded.
-func (d *Daemon) reject(response *fasthttp.Response, problem exchanger.Problem) {
+// metricsLimits bound the requests for the metrics, which have no body.
+func metricsLimits() exchanger.Limits {
+	return exchanger.Limits{
+		HeaderBytes: metricsHeaderBytes, BodyBytes: 0, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout,
+	}
+}
+
+// rejectCaller answers a request of a caller that could not be read. No part of it was
+// forwarded.
+func (d *Daemon) rejectCaller(x *exchanger.Exchange, problem exchanger.Problem) {
+	d.config.Dialect.WriteRefusal(&x.Response, &x.Request.Header, refusalOf(problem))
+}
+
+// rejectPeer answers a request of another daemon that could not be read.
+func rejectPeer(x *exchanger.Exchange, problem exchanger.Problem) {
+	refusalOf(problem).WriteResponse(&x.Response)
+}
+
+// refusalOf returns the refusal of a request that could not be read.
+func refusalOf(problem exchanger.Problem) encoder.Refusal {
 	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
 	switch problem {
 	case exchanger.BodyTooLarge:
 		refusal.Reason = classifier.TooLarge
 	case exchanger.HeaderTooLarge:
 		refusal.Reason = classifier.HeaderTooLarge
-	case exchanger.OutOfMemory:
-		refusal.Reason = classifier.Overloaded
+	case exchanger.OutOfMemory, exchanger.TooManyConnections:
+		refusal.Reason, refusal.RetryAfterMs = classifier.Overloaded, noRoomRetryAfter
 	case exchanger.Malformed:
 	}
-	refusal.WriteResponse(response)
+	return refusal
 }
 
 // stop stops the daemon gracefully. During the notice period it serves as before, so
--- a/internal/assembler/sync.go
+++ b/internal/assembler/sync.go
@@ -101,7 +101,12 @@
 	case pathConfiguration:
 		body, err = d.encodedConfiguration.encode(d.configuration.Snapshot())
 	case pathMembers:
-		body, err = json.Marshal(append(d.gossiper.Members(), d.self()))
+		members := append(d.gossiper.Members(), d.self())
+		if !x.Memory().Grow(int64(len(members)) * memberBytes) {
+			rejectPeer(x, exchanger.OutOfMemory)
+			return
+		}
+		body, err = json.Marshal(members)
 	default:
 		x.Response.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -238,7 +243,7 @@
 
 // get sends a GET request to another daemon and returns the response body.
 func (d *Daemon) get(m registrar.Member, path string) ([]byte, error) {
-	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request, response := &exchanger.Request{}, &fasthttp.Response{}
 	request.Header.SetMethod(fasthttp.MethodGet)
 	request.Header.SetRequestURI(path)
 	request.Header.SetHost(string(m.Peer))
@@ -252,7 +257,17 @@
 	return response.Body(), nil
 }
 
+// memberBytes is more than a member takes in the response to a query.
+const memberBytes = 1 << 10
+
+// metricsBytes is more than the text of the metrics.
+const metricsBytes = 256 << 10
+
 func serveMetrics(x *exchanger.Exchange) {
+	if !x.Memory().Grow(metricsBytes) {
+		rejectPeer(x, exchanger.OutOfMemory)
+		return
+	}
 	x.Response.Header.SetContentType("text/plain; version=0.0.4")
 	metrics.WritePrometheus(x.Response.BodyWriter(), true)
 }
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -33,6 +33,11 @@
 			log := recorder.New(cmd.OutOrStdout(), recorder.Config{Level: minLevel})
 			defer log.Close()
 			logger := slog.New(log.Handler())
+			settings, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			limitMemory(settings.RuntimeMemory())
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return platform.Run(ctx, path, logger)
--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -57,8 +57,12 @@
 	Account uint32
 }
 
-// maxPriority bounds the priority of attempts.
-const maxPriority = 1 << 20
+const (
+	// maxPriority bounds the priority of attempts.
+	maxPriority = 1 << 20
+	// maxUrgencyBytes is more than an encoded urgency has.
+	maxUrgencyBytes = 128
+)
 
 // String encodes the urgency as a header value.
 func (u Urgency) String() string {
@@ -84,31 +88,34 @@
 
 // ParseUrgency parses and validates an urgency encoded by String.
 func ParseUrgency(text string) (Urgency, error) {
+	if len(text) > maxUrgencyBytes {
+		return Urgency{}, Error.New("%s has %d bytes", HeaderUrgency, len(text))
+	}
 	parts := strings.Fields(text)
 	if len(parts) < 4 {
-		return Urgency{}, Error.New("%s %q has less than four parts", HeaderUrgency, text)
+		return Urgency{}, Error.New("%s %.40q has less than four parts", HeaderUrgency, text)
 	}
 	priority, err := strconv.Atoi(parts[0])
 	if err != nil || priority < 0 || priority > maxPriority {
-		return Urgency{}, Error.New("%s %q: priority is not between 0 and %d", HeaderUrgency, text, maxPriority)
+		return Urgency{}, Error.New("%s %.40q: priority is not between 0 and %d", HeaderUrgency, text, maxPriority)
 	}
 	wait, err := strconv.ParseInt(parts[1], 10, 64)
 	if err != nil || wait < 0 || timer.Millis(wait) > timer.Day {
-		return Urgency{}, Error.New("%s %q: wait is not a time in ms between 0 and one day", HeaderUrgency, text)
+		return Urgency{}, Error.New("%s %.40q: wait is not a time in ms between 0 and one day", HeaderUrgency, text)
 	}
 	slowdown, err := strconv.ParseInt(parts[2], 10, 32)
 	if err != nil || slowdown < 0 {
-		return Urgency{}, Error.New("%s %q: slowdown is not a percentage", HeaderUrgency, text)
+		return Urgency{}, Error.New("%s %.40q: slowdown is not a percentage", HeaderUrgency, text)
 	}
 	target, err := strconv.ParseInt(parts[3], 10, 64)
 	if err != nil || target < 0 || timer.Millis(target) > timer.Day {
-		return Urgency{}, Error.New("%s %q: target is not a time in ms between 0 and one day", HeaderUrgency, text)
+		return Urgency{}, Error.New("%s %.40q: target is not a time in ms between 0 and one day", HeaderUrgency, text)
 	}
 	u := Urgency{
 		Priority: priority, MaxWait: timer.Millis(wait), Slowdown: int32(slowdown), TargetRemaining: timer.Millis(target),
 	}
 	if !u.parseOptional(parts[4:]) {
-		return Urgency{}, Error.New("%s %q: the parts after the fourth are not i, n and a with an account, in this order", HeaderUrgency, text)
+		return Urgency{}, Error.New("%s %.40q: the parts after the fourth are not i, n and a with an account, in this order", HeaderUrgency, text)
 	}
 	return u, nil
 }
@@ -169,7 +176,7 @@
 	}
 	version, err := strconv.ParseUint(string(header.Peek(HeaderVersion)), 10, 64)
 	if err != nil {
-		return Error.New("%s %q is not a version", HeaderVersion, header.Peek(HeaderVersion))
+		return Error.New("%s %.40q is not a version", HeaderVersion, header.Peek(HeaderVersion))
 	}
 	depth, err := DecodeDepth(header)
 	if err != nil {
@@ -199,7 +206,7 @@
 	}
 	value, err := strconv.ParseInt(string(text), 10, 64)
 	if err != nil || value < 0 || timer.Millis(value) > timer.Day {
-		return 0, false, Error.New("%s %q is not a time in ms between 0 and one day", HeaderTimeout, text)
+		return 0, false, Error.New("%s %.40q is not a time in ms between 0 and one day", HeaderTimeout, text)
 	}
 	return timer.Millis(value), true, nil
 }
@@ -212,7 +219,7 @@
 	}
 	depth, err := strconv.Atoi(string(text))
 	if err != nil || depth < 0 {
-		return 0, Error.New("%s %q is not a depth", HeaderDepth, text)
+		return 0, Error.New("%s %.40q is not a depth", HeaderDepth, text)
 	}
 	return depth, nil
 }
--- a/internal/protocol/encoder/header.go
+++ b/internal/protocol/encoder/header.go
@@ -8,11 +8,13 @@
 // # Usage
 //
 //	var attempt encoder.Attempt
-//	err := attempt.Decode(&ctx.Request.Header)
+//	err := attempt.Decode(&x.Request.Header)
 //	...
-//	encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining}.Write(ctx)
+//	encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining}.WriteResponse(&x.Response)
 package encoder
 
+import "slices"
+
 // Headers that callers and backend servers see.
 const (
 	HeaderService        = "Magnoliaknot-Service"
@@ -40,5 +42,13 @@
 	HeaderTargetVersion = "Magnoliaknot-Version"
 )
 
+// ReadHeaders returns the headers that ingress and admission read and pass on.
+func ReadHeaders() []string {
+	return []string{HeaderService, HeaderTimeout, HeaderDepth, HeaderIdempotencyKey}
+}
+
+// InternalHeaders returns the headers that ingress removes from callers' requests.
+func InternalHeaders() []string { return slices.Clone(internalHeaders) }
+
 // internalHeaders lists the headers that ingress removes from callers' requests.
 var internalHeaders = []string{HeaderAttempt, HeaderVersion, HeaderSolo, HeaderLoad, HeaderWantLoad, HeaderUrgency, HeaderTarget, HeaderTargetVersion}
--- a/internal/protocol/encoder/urgency_test.go
+++ b/internal/protocol/encoder/urgency_test.go
@@ -1,6 +1,7 @@
 package encoder_test
 
 import (
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -78,3 +79,15 @@
 		}
 	})
 }
+
+// Guards against a header of another daemon whose parts take many times its bytes.
+func TestLongUrgency(t *testing.T) {
+	for _, text := range []string{strings.Repeat("1 ", 8000), strings.Repeat(" ", 16000) + "1 1 1 1"} {
+		if allocations := testing.AllocsPerRun(10, func() { _, _ = encoder.ParseUrgency(text) }); allocations > 10 {
+			t.Errorf("%v allocations for %d bytes", allocations, len(text))
+		}
+		if _, err := encoder.ParseUrgency(text); err == nil {
+			t.Errorf("%.20q with %d bytes was accepted", text, len(text))
+		}
+	}
+}
--- a/internal/transport/dispatcher/admission.go
+++ b/internal/transport/dispatcher/admission.go
@@ -53,6 +53,9 @@
 	OnLeave func()
 	// OnAttempt is called with the daemon that sent an attempt. It must not block.
 	OnAttempt func(sender identifier.Incarnation)
+	// Memory and Sockets bound the connections to the backend server, with others.
+	Memory  *exchanger.Memory
+	Sockets *exchanger.Sockets
 	// BroadcastQuarantine sends quarantine entries to the other daemons of the service.
 	BroadcastQuarantine func(entries []quarantiner.Entry)
 	Logger              *slog.Logger
@@ -105,7 +108,7 @@
 		observer: newObserver(config.Logger),
 		pool: exchanger.NewPool(exchanger.PoolConfig{
 			Address: config.Address, ConnectTimeout: backendConnectTimeout,
-			MaxIdle: backendMaxIdle, IdleTimeout: backendIdleTimeout,
+			MaxIdle: backendMaxIdle, IdleTimeout: backendIdleTimeout, Memory: config.Memory, Sockets: config.Sockets,
 		}),
 		admitter:    admitter.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
@@ -140,8 +143,8 @@
 func (a *Admission) Handle(x *exchanger.Exchange) {
 	var attempt encoder.Attempt
 	if err := attempt.Decode(&x.Request.Header); err != nil {
-		a.config.Logger.Warn("attempt with invalid headers refused", "error", err.Error())
-		id := string(x.Request.Header.Peek(encoder.HeaderAttempt))
+		a.config.Logger.Warn("attempt with invalid headers refused", "error", shorten([]byte(err.Error())))
+		id := shorten(x.Request.Header.Peek(encoder.HeaderAttempt))
 		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}.WriteResponse(&x.Response)
 		x.Response.Header.Set(encoder.HeaderAttempt, id)
 		return
@@ -149,7 +152,7 @@
 	encoder.RemoveInternalHeaders(&x.Request.Header)
 	if attempt.Target != a.config.Member.Node {
 		// Another VM had this address when the sender learned it.
-		a.config.Logger.Warn("attempt for another instance refused", "attempt", attempt.ID.String(), "target", attempt.Target)
+		a.config.Logger.Warn("attempt for another instance refused", "attempt", attempt.ID.String(), "target", shorten([]byte(attempt.Target)))
 		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Unavailable, RetryAfterMs: unavailableRetryAfter}.WriteResponse(&x.Response)
 		x.Response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 		return
@@ -189,7 +192,7 @@
 	if route, found := snapshot.Lookup(host, path); found {
 		r.route, r.largeBody = route.Name, route.LargeBody
 	}
-	r.fingerprint = identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), r.Request.Body())
+	r.fingerprint = identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), r.Request.Body...)
 	arrived := a.config.Clock.Now()
 	a.submit(r)
 	d := <-r.decided
@@ -208,7 +211,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return admissionEnd{
-		request: string(a.config.Dialect.RequestID(&r.Request.Header)), attempt: r.Attempt.ID.String(),
+		request: shorten(a.config.Dialect.RequestID(&r.Request.Header)), attempt: r.Attempt.ID.String(),
 		backend: string(a.backend.ID), load: a.currentLoad(), loadAge: a.config.Clock.Now() - a.loadAt,
 		notice: a.notices.last,
 	}
--- a/internal/transport/dispatcher/clock_test.go
+++ b/internal/transport/dispatcher/clock_test.go
@@ -45,7 +45,7 @@
 				}})
 			default:
 				run := newReadRun(uint64(n), fmt.Sprintf("/p%d", random.IntN(3)))
-				run.fingerprint = identifier.NewFingerprint("GET", string(run.Request.RequestURI()), nil)
+				run.fingerprint = identifier.NewFingerprint("GET", string(run.Request.Header.RequestURI()), nil)
 				run.Attempt.Remaining = timer.Millis(random.IntN(500))
 				a.submit(run)
 				waiting = append(waiting, run)
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/registrar"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -67,6 +68,9 @@
 	// EndToEnd returns the headers on which callers, daemons and backend servers rely. A
 	// Connection header cannot remove them.
 	EndToEnd() []string
+	// RequestFields returns the headers of requests that the dialect reads and passes on, and
+	// those that it removes or sets.
+	RequestFields() (read, own []string)
 	// RequestID returns the id that the caller gave its request.
 	RequestID(header *fasthttp.RequestHeader) []byte
 	// TimeLeft returns how long the caller still waits, or false if the request does
@@ -102,6 +106,13 @@
 	WriteRefusal(response *fasthttp.Response, request *fasthttp.RequestHeader, refusal encoder.Refusal)
 }
 
+// NewNames returns the fields of requests that ingress and admission read or set. The others
+// are passed on as they arrive.
+func NewNames(dialect Dialect) *separator.Names {
+	read, own := dialect.RequestFields()
+	return separator.NewNames(append(encoder.ReadHeaders(), read...), append(encoder.InternalHeaders(), own...))
+}
+
 // Members lists the known instances. It is safe for concurrent use.
 type Members interface {
 	// Version increases when a member joins, leaves or changes in anything but its
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -203,10 +203,12 @@
 			Account:         accountHash(e.request.account), Nested: e.request.nested,
 		},
 	}
-	request := &fasthttp.Request{}
-	e.x.Request.Header.CopyTo(&request.Header)
-	request.SetBodyRaw(e.x.Request.Body()) // Attempts only read it.
-	request.Header.SetNoDefaultContentType(true)
+	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
+		e.events <- attemptResult{event: retrier.NotRun{Attempt: number, Reason: classifier.Overloaded, RetryAfter: noRoomRetryAfter}}
+		return true
+	}
+	request := &exchanger.Request{}
+	e.x.Request.CopyTo(request)
 	a.response = &fasthttp.Response{}
 	if member.Node == i.config.Self {
 		a.run = NewRun(details, request, a.response)
@@ -243,7 +245,7 @@
 // mayWrite is the last check before an attempt is written to another daemon. The time
 // left is that of this moment, since the connection may have taken a while or the
 // process may have been paused.
-func (e *exchange) mayWrite(a *attempt, details encoder.Attempt, request *fasthttp.Request) bool {
+func (e *exchange) mayWrite(a *attempt, details encoder.Attempt, request *exchanger.Request) bool {
 	now := timer.Resync(e.ingress.config.Clock)
 	if now >= e.request.deadline {
 		return false
@@ -259,6 +261,8 @@
 	// answerSlack lets the answer to an attempt that ended at its deadline
 	// arrive, so that its connection can be kept.
 	answerSlack = 50 * timer.Millis(1)
+	// noRoomRetryAfter is about the time that most requests hold their memory.
+	noRoomRetryAfter = 200 * timer.Millis(1)
 )
 
 // local runs an attempt on the own instance.
@@ -294,6 +298,8 @@
 		e.endBody(a)
 	case exchanger.Expired:
 		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Deadline}, latency, selector.NotRun)
+	case exchanger.NoRoom:
+		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Overloaded, RetryAfter: noRoomRetryAfter}, latency, selector.NotRun)
 	case exchanger.ConnectionRefused, exchanger.NotSent:
 		e.request.fleet.eject(e.now(), a.member.Node)
 		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.ConnectionBroken}, latency, selector.NotRun)
@@ -316,7 +322,7 @@
 		return classifier.Deadline
 	case exchanger.Aborted:
 		return classifier.Canceled
-	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
+	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionRefused, exchanger.ConnectionBroken, exchanger.NoRoom:
 	}
 	return classifier.ConnectionBroken
 }
--- a/internal/transport/dispatcher/forward.go
+++ b/internal/transport/dispatcher/forward.go
@@ -128,7 +128,7 @@
 		end.result, end.refusal.Reason = admitter.TimedOut, classifier.CallerGone
 	case exchanger.Incomplete:
 		end.result, end.refusal.Reason = admitter.Failed, classifier.IncompleteAnswer
-	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionRefused, exchanger.ConnectionBroken:
+	case exchanger.Answered, exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionRefused, exchanger.ConnectionBroken, exchanger.NoRoom:
 	}
 	return end
 }
@@ -152,6 +152,8 @@
 	switch result {
 	case exchanger.Answered, exchanger.Streaming:
 		return a.classifyAnswer(r)
+	case exchanger.NoRoom:
+		return notRun(admitter.Shed, classifier.Overloaded)
 	case exchanger.NotSent:
 		return notRun(admitter.TimedOut, classifier.ConnectionBroken)
 	case exchanger.Expired:
--- a/internal/transport/dispatcher/health.go
+++ b/internal/transport/dispatcher/health.go
@@ -118,7 +118,7 @@
 // check requests the health and load of the backend server. Starts counts the attempts
 // started before.
 func (a *Admission) check(ended chan struct{}, starts uint64) {
-	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request, response := &exchanger.Request{}, &fasthttp.Response{}
 	request.Header.SetMethod(fasthttp.MethodGet)
 	request.Header.SetRequestURI(a.healthPath())
 	request.Header.SetHost(string(a.config.Address))
@@ -135,7 +135,7 @@
 		a.applyHealth(a.config.Dialect.Health(response), a.config.Dialect.Notice(&response.Header), starts)
 	case exchanger.ConnectionRefused:
 		a.setDown("health check refused")
-	case exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted:
+	case exchanger.Streaming, exchanger.NotSent, exchanger.Expired, exchanger.ConnectionBroken, exchanger.Incomplete, exchanger.TimedOut, exchanger.Aborted, exchanger.NoRoom:
 	}
 	a.mu.Lock()
 	a.checkDone = nil
--- a/internal/transport/dispatcher/hop.go
+++ b/internal/transport/dispatcher/hop.go
@@ -22,6 +22,10 @@
 	fasthttp.HeaderContentEncoding, fasthttp.HeaderAuthorization,
 }
 
+// maxOptions bounds the options of a Connection header that are looked at. Those of requests
+// were applied when the request was read.
+const maxOptions = 64
+
 // header is the common part of request and response headers.
 type header interface {
 	All() iter.Seq2[[]byte, []byte]
@@ -35,10 +39,10 @@
 	var listed []string
 	for name, value := range h.All() {
 		if strings.EqualFold(string(name), fasthttp.HeaderConnection) {
-			listed = append(listed, strings.Split(string(value), ",")...)
+			listed = append(listed, strings.SplitN(string(value), ",", maxOptions)...)
 		}
 	}
-	for _, name := range listed {
+	for _, name := range listed[:min(len(listed), maxOptions)] {
 		if name = strings.TrimSpace(name); name != "" && !containsName(kept, name) && !containsName(messageHeaders, name) {
 			h.Del(name)
 		}
--- a/internal/transport/dispatcher/ingress.go
+++ b/internal/transport/dispatcher/ingress.go
@@ -116,7 +116,7 @@
 	defer i.inFlight.Add(-1)
 	// Before any header is set: the caller's Connection header must not remove one of ours.
 	removeHopHeaders(&x.Request.Header, i.config.Dialect.EndToEnd())
-	end := requestEnd{request: string(i.config.Dialect.RequestID(&x.Request.Header)), outcome: encoder.Complete}
+	end := requestEnd{request: shorten(i.config.Dialect.RequestID(&x.Request.Header)), outcome: encoder.Complete}
 	if refusal, answered := i.serve(x, &end); !answered {
 		i.config.Dialect.WriteRefusal(&x.Response, &x.Request.Header, refusal)
 		end.outcome, end.reason, end.retryAfter = refusal.Outcome, refusal.Reason, refusal.RetryAfterMs
--- a/internal/transport/dispatcher/observer.go
+++ b/internal/transport/dispatcher/observer.go
@@ -22,8 +22,10 @@
 	maxRoutes = 100
 	// maxAccounts is the same for client accounts.
 	maxAccounts = 20
-	otherLabel  = "other"
-	msPerSec    = 1000
+	// maxReasons is more than there are.
+	maxReasons = 64
+	otherLabel = "other"
+	msPerSec   = 1000
 )
 
 // observer logs and counts each decision about a request. It is safe for
@@ -35,10 +37,23 @@
 	routes labels
 	// accounts are the client accounts with metrics of their own.
 	accounts labels
+	// reasons are those with metrics of their own. Other daemons may name more.
+	reasons labels
 }
 
 func newObserver(logger *slog.Logger) *observer {
-	return &observer{logger: logger, routes: newLabels(maxRoutes), accounts: newLabels(maxAccounts)}
+	return &observer{logger: logger, routes: newLabels(maxRoutes), accounts: newLabels(maxAccounts), reasons: newLabels(maxReasons)}
+}
+
+// maxLogged bounds a text in the log that callers or other daemons choose.
+const maxLogged = 128
+
+// shorten returns the start of a text that callers or other daemons choose.
+func shorten(text []byte) string {
+	if len(text) <= maxLogged {
+		return string(text)
+	}
+	return string(text[:maxLogged]) + "..."
 }
 
 // labels are the names that have metrics of their own.
@@ -62,6 +77,13 @@
 	return name
 }
 
+// reasonLabel returns the label of a reason, which may come from another daemon.
+func (o *observer) reasonLabel(reason string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reasons.label(shorten([]byte(reason)))
+}
+
 // labelsOf returns the labels of a request's route and client account in metrics.
 func (o *observer) labelsOf(e requestEnd) (route, account string) {
 	o.mu.Lock()
@@ -97,10 +119,11 @@
 // requestEnded records the end of a caller's request.
 func (o *observer) requestEnded(e requestEnd) {
 	label, account := o.labelsOf(e)
+	reason := o.reasonLabel(string(e.reason))
 	if account != "" {
-		metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_account_requests_total{account=%q,outcome=%q,reason=%q}`, account, e.outcome, e.reason)).Inc()
+		metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_account_requests_total{account=%q,outcome=%q,reason=%q}`, account, e.outcome, reason)).Inc()
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_requests_total{route=%q,outcome=%q,reason=%q}`, label, e.outcome, e.reason)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_requests_total{route=%q,outcome=%q,reason=%q}`, label, e.outcome, reason)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliaknot_request_seconds{route=%q,outcome=%q}`, label, e.outcome)).
 		Update(float64(e.elapsed) / msPerSec)
 	level := slog.LevelDebug
@@ -131,7 +154,7 @@
 
 // attemptEnded records the end of an attempt.
 func (o *observer) attemptEnded(e attemptEnd) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_attempts_total{result=%q,reason=%q}`, e.result, e.reason)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_attempts_total{result=%q,reason=%q}`, e.result, o.reasonLabel(e.reason))).Inc()
 	level := slog.LevelInfo
 	if e.number == 1 && e.result == resultAnswered {
 		level = slog.LevelDebug
@@ -178,7 +201,7 @@
 		metrics.GetOrCreateHistogram("magnoliaknot_queue_seconds").Update(float64(e.waited) / msPerSec)
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliaknot_service_seconds{result=%q}`, result)).Update(float64(e.ran) / msPerSec)
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_admissions_total{result=%q,reason=%q}`, result, e.reason)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliaknot_admissions_total{result=%q,reason=%q}`, result, o.reasonLabel(string(e.reason)))).Inc()
 	level := slog.LevelInfo
 	if e.started && e.result == admitter.OK {
 		level = slog.LevelDebug
--- a/internal/transport/dispatcher/peers.go
+++ b/internal/transport/dispatcher/peers.go
@@ -24,12 +24,18 @@
 
 // Peers holds the connections to other daemons. It is safe for concurrent use.
 type Peers struct {
+	memory  *exchanger.Memory
+	sockets *exchanger.Sockets
+
 	mu    sync.Mutex
 	pools map[identifier.Address]*exchanger.Pool
 }
 
-// NewPeers returns peers without connections.
-func NewPeers() *Peers { return &Peers{pools: map[identifier.Address]*exchanger.Pool{}} }
+// NewPeers returns peers without connections. The memory and the sockets bound what the
+// connections hold, with others.
+func NewPeers(memory *exchanger.Memory, sockets *exchanger.Sockets) *Peers {
+	return &Peers{memory: memory, sockets: sockets, pools: map[identifier.Address]*exchanger.Pool{}}
+}
 
 // Pool returns the connection pool of a daemon.
 func (p *Peers) Pool(address identifier.Address) *exchanger.Pool {
@@ -39,7 +45,7 @@
 	if !found {
 		pool = exchanger.NewPool(exchanger.PoolConfig{
 			Address: address, ConnectTimeout: peerConnectTimeout, UserTimeout: peerUserTimeout,
-			MaxIdle: peerMaxIdle, IdleTimeout: peerIdleTimeout,
+			MaxIdle: peerMaxIdle, IdleTimeout: peerIdleTimeout, Memory: p.memory, Sockets: p.sockets,
 		})
 		p.pools[address] = pool
 	}
--- a/internal/transport/dispatcher/peers_test.go
+++ b/internal/transport/dispatcher/peers_test.go
@@ -28,13 +28,14 @@
 	go func() { _ = server.Serve(listener) }() // Ends with Close.
 	defer server.Close()
 	address := identifier.Address(listener.Addr().String())
-	peers := NewPeers()
+	peers := NewPeers(nil, nil)
 	reused := func() bool {
 		call := &exchanger.Call{
-			Request: &fasthttp.Request{}, Response: &fasthttp.Response{},
+			Request: &exchanger.Request{}, Response: &fasthttp.Response{},
 			Deadline: time.Now().Add(time.Second), MaxReuseIdle: timer.Second,
 		}
-		call.Request.SetRequestURI("http://" + string(address) + "/")
+		call.Request.Header.SetRequestURI("/")
+		call.Request.Header.SetHost(string(address))
 		if result := peers.Pool(address).Do(call); result != exchanger.Answered {
 			t.Fatalf("result %v", result)
 		}
--- a/internal/transport/dispatcher/run.go
+++ b/internal/transport/dispatcher/run.go
@@ -16,7 +16,7 @@
 // Execute returns.
 type Run struct {
 	Attempt  encoder.Attempt
-	Request  *fasthttp.Request
+	Request  *exchanger.Request
 	Response *fasthttp.Response
 	// Memory holds the bytes of the buffered response.
 	Memory *exchanger.Reservation
@@ -40,7 +40,7 @@
 }
 
 // NewRun returns an attempt that has not been executed yet.
-func NewRun(attempt encoder.Attempt, request *fasthttp.Request, response *fasthttp.Response) *Run {
+func NewRun(attempt encoder.Attempt, request *exchanger.Request, response *fasthttp.Response) *Run {
 	return &Run{Attempt: attempt, Request: request, Response: response, decided: make(chan decision, 1)}
 }
 
--- a/internal/transport/dispatcher/solo_test.go
+++ b/internal/transport/dispatcher/solo_test.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/router"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -29,10 +30,9 @@
 
 // newReadRun returns an attempt to read a path.
 func newReadRun(sequence uint64, path string) *Run {
-	request := &fasthttp.Request{}
+	request := &exchanger.Request{}
 	request.Header.SetMethod(fasthttp.MethodGet)
 	request.Header.SetHost("shop.example")
-	request.SetRequestURI(path)
 	request.Header.SetRequestURI(path)
 	attempt := encoder.Attempt{ID: identifier.AttemptID{Origin: 7, Sequence: sequence}, Target: "own", Remaining: timer.Second, Version: 1}
 	attempt.Urgency.MaxWait = timer.Second
@@ -46,7 +46,7 @@
 	defer server.Close()
 	a := newAdmission(new([]identifier.Incarnation))
 	a.config.Address = identifier.Address(server.Listener.Addr().(*net.TCPAddr).String())
-	a.pool = NewPeers().Pool(a.config.Address)
+	a.pool = NewPeers(nil, nil).Pool(a.config.Address)
 	var sentEntries []quarantiner.Entry
 	a.config.BroadcastQuarantine = func(entries []quarantiner.Entry) { sentEntries = append(sentEntries, entries...) }
 	a.config.Configuration.Adopt((&router.Snapshot{Version: 1}).Index())
--- a/internal/transport/dispatcher/window_test.go
+++ b/internal/transport/dispatcher/window_test.go
@@ -49,7 +49,7 @@
 	if clock != nil {
 		a.config.Clock = clock
 	}
-	a.pool = NewPeers().Pool(address)
+	a.pool = NewPeers(nil, nil).Pool(address)
 	a.config.Bodies = BodyLimits{Buffer: 1 << 20, Total: 1 << 20}
 	a.config.Configuration.Adopt((&router.Snapshot{Version: 1}).Index())
 	a.Announce(Backend{ID: "b-1", Incarnation: 1, Slots: 4, State: admitter.Ready})
--- a/internal/transport/exchanger/bodyreader.go
+++ b/internal/transport/exchanger/bodyreader.go
@@ -36,7 +36,7 @@
 
 // bodyReader reads the content of a message body from a connection.
 type bodyReader struct {
-	reader *bufio.Reader
+	reader *input
 	// length is the content length, lengthChunked or lengthUntilClose.
 	length int
 	// limit bounds the content.
@@ -51,7 +51,7 @@
 	endsBody func() bool
 }
 
-func newBodyReader(reader *bufio.Reader, length int, limit int64) *bodyReader {
+func newBodyReader(reader *input, length int, limit int64) *bodyReader {
 	b := &bodyReader{reader: reader, length: length, limit: limit, remaining: int64(max(0, length))}
 	switch {
 	case length == 0:
@@ -154,7 +154,7 @@
 // readLine returns a line of the framing without its line break. It is valid until
 // the next read.
 func (b *bodyReader) readLine() ([]byte, error) {
-	line, err := b.reader.ReadSlice('\n')
+	line, err := b.reader.readLine(maxFramingLine)
 	b.framing += int64(len(line))
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull) || len(line) > maxFramingLine || b.framing > maxFramingBytes+framingPerByte*b.content:
@@ -176,8 +176,50 @@
 	return err
 }
 
-// firstBodyBuffer is the first size of the buffer of a body without a length.
-const firstBodyBuffer = 4 << 10
+const (
+	// firstBodyBuffer is the first size of the buffer of a body without a length.
+	firstBodyBuffer = 4 << 10
+	// readAhead is the part of an announced length that is allocated at once.
+	readAhead = 64 << 10
+	// maxSegment bounds the segments of the body of a request.
+	maxSegment = 256 << 10
+)
+
+// readContent reads content in segments until the body ends or limit bytes are read. The
+// segments are allocated as the body arrives, not as the sender announces it, and counted
+// before. The error is io.EOF if the body has ended, nil if limit was reached and
+// errNoMemory if the reservation could not grow.
+func (b *bodyReader) readContent(limit int64, memory *Reservation) (Content, error) {
+	var content Content
+	for size := int64(firstBodyBuffer); b.err == nil && b.content < limit; size = min(2*size, maxSegment) {
+		if left := b.remaining; b.length >= 0 && (left <= readAhead || left < size) {
+			size = left
+		}
+		if !memory.Grow(size) {
+			return content, errNoMemory
+		}
+		segment, err := b.fill(make([]byte, 0, size))
+		if len(segment) > 0 {
+			content = append(content, segment)
+		}
+		if err != nil {
+			return content, err
+		}
+	}
+	return content, b.err
+}
+
+// fill reads content until the buffer is full or the body ends.
+func (b *bodyReader) fill(buffer []byte) ([]byte, error) {
+	for len(buffer) < cap(buffer) {
+		n, err := b.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil {
+			return buffer, err
+		}
+	}
+	return buffer, nil
+}
 
 // readUpTo appends content to buffer until the body ends or the buffer holds limit
 // bytes. The buffer grows with what arrives, not with what the sender announces. The
@@ -193,11 +235,12 @@
 			return buffer, nil
 		}
 		if len(buffer) == cap(buffer) {
-			size := b.nextBufferSize(int64(cap(buffer)), limit)
-			if !memory.Grow(size - int64(cap(buffer))) {
+			size, before := b.nextBufferSize(int64(cap(buffer)), limit), int64(cap(buffer))
+			if !memory.Grow(size) { // Both buffers are held while one is copied.
 				return buffer, errNoMemory
 			}
 			buffer = append(make([]byte, 0, size), buffer...)
+			memory.Shrink(before)
 		}
 		n, _ := b.Read(buffer[len(buffer):min(int64(cap(buffer)), limit)]) // The error is kept in b.err.
 		buffer = buffer[:len(buffer)+n]
@@ -214,6 +257,3 @@
 	}
 	return min(size, limit)
 }
-
-// readAhead is the part of an announced length that is allocated at once.
-const readAhead = 64 << 10
--- a/internal/transport/exchanger/call.go
+++ b/internal/transport/exchanger/call.go
@@ -34,11 +34,14 @@
 	TimedOut
 	// Aborted means that Abort was called after a byte was written.
 	Aborted
+	// NoRoom means that no byte was written because this process has no memory or no socket
+	// left for a connection.
+	NoRoom
 )
 
 // Call is one request to a destination.
 type Call struct {
-	Request  *fasthttp.Request
+	Request  *Request
 	Response *fasthttp.Response
 	Deadline time.Time
 	// MaxReuseIdle is the longest idle time after which a connection may be reused
@@ -55,17 +58,21 @@
 	MatchResponse func(*fasthttp.ResponseHeader) bool
 	// BodyLimit bounds the response's body in bytes. Zero means defaultBodyLimit.
 	BodyLimit int64
+	// RequireLength makes a response whose end is that of its connection fail.
+	RequireLength bool
 	// Stream allows the result Streaming for a body of more than BufferLimit bytes, or
 	// one that Memory has no room for. Without it, such a body makes the call fail.
 	Stream      bool
 	BufferLimit int64
-	// Memory holds the bytes of the buffered body. Nil has no bound but BodyLimit.
+	// Memory holds the bytes of the head and of the buffered body of the response. Nil has no
+	// bound but BodyLimit.
 	Memory *Reservation
 
 	// Body is set if the result is Streaming. It must be read to its end or closed.
 	Body *Body
-	// Reused reports whether the call was sent on a pooled connection.
-	Reused bool
+	// Reused reports whether the call was sent on a pooled connection, Unconnected that no
+	// connection could be opened.
+	Reused, Unconnected bool
 
 	mu      sync.Mutex
 	conn    *connection
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -28,7 +28,8 @@
 	maxInterim = 8
 	// maxDiscarded bounds the body of a response to another request.
 	maxDiscarded = 1 << 20
-	readBuffer   = 8 << 10
+	// maxResponseHead bounds the head of a response, which may repeat a field of the request.
+	maxResponseHead = 32 << 10
 	// maxWriteReturn is how long the result of a write that has ended may take to arrive.
 	maxWriteReturn = 100 * timer.Millis(1)
 	// keepAliveMargin is subtracted from the idle timeout that a destination
@@ -38,10 +39,16 @@
 
 // connection is a client connection; it carries one request at a time.
 type connection struct {
-	net.Conn
+	conn   net.Conn
 	raw    syscall.RawConn
-	reader *bufio.Reader
+	reader *input
 	usedAt time.Time
+	// openedAt is when the connection was established.
+	openedAt time.Time
+	// memory holds the cost of the connection.
+	memory *Reservation
+	// giveBack gives back the socket.
+	giveBack func()
 	// idleLimit is how long the connection may stay idle according to the
 	// destination's Keep-Alive header; 0 if it announced none.
 	idleLimit time.Duration
@@ -51,28 +58,42 @@
 	written chan error
 }
 
-func newConnection(conn net.Conn) *connection {
-	c := &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), usedAt: time.Now()}
+func newConnection(conn net.Conn, memory *Reservation, giveBack func()) *connection {
+	now := time.Now()
+	c := &connection{
+		conn: conn, reader: newInput(conn, maxResponseHead, memory), usedAt: now, openedAt: now, memory: memory, giveBack: giveBack,
+	}
 	if source, ok := conn.(syscall.Conn); ok {
 		c.raw, _ = source.SyscallConn() // If nil, idle connections are not checked.
 	}
 	return c
 }
 
+// close closes the connection and frees what it holds. It is called once, when no call uses
+// the connection any more.
+func (c *connection) close() {
+	_ = c.conn.Close() // It may be closed already; nothing is in flight on it.
+	c.memory.Close()
+	c.giveBack()
+}
+
 // stale reports whether an idle connection must not carry another request.
-func (c *connection) stale(limit timer.Millis) bool {
+func (c *connection) stale(config PoolConfig) bool {
 	idle := time.Since(c.usedAt)
-	if idle > limit.Duration() || c.idleLimit > 0 && idle > c.idleLimit {
+	if idle > config.IdleTimeout.Duration() || c.idleLimit > 0 && idle > c.idleLimit {
+		return true
+	}
+	if config.MaxAge > 0 && time.Since(c.openedAt) > config.MaxAge.Duration() {
 		return true
 	}
 	return c.reader.Buffered() > 0 || PeerClosed(c.raw)
 }
 
-// abort closes the connection with a reset. After a plain close, the kernel could
-// still deliver the request when a network outage ends.
+// abort resets the connection. After a plain close, the kernel could still deliver the
+// request when a network outage ends. What the connection holds is freed by close.
 func (c *connection) abort() {
-	resetOnClose(c.Conn)
-	_ = c.Close() // It may be closed already.
+	resetOnClose(c.conn)
+	_ = c.conn.Close() // It may be closed already.
 }
 
 // do writes a request and reads its response. If the result is Streaming, the rest of
@@ -81,9 +102,9 @@
 	if call.Prepare != nil && !call.Prepare() {
 		return Expired
 	}
-	_ = c.SetDeadline(call.Deadline) // Fails only on a closed connection, as the write does.
+	_ = c.conn.SetDeadline(call.Deadline) // Fails only on a closed connection, as the write does.
 	c.written = make(chan error, 1)
-	if len(call.Request.Body()) <= maxBodyBeforeRead {
+	if call.Request.Body.Len() <= maxBodyBeforeRead {
 		if n, err := c.send(call.Request); err != nil {
 			return c.fail(err, n == 0, ConnectionBroken)
 		}
@@ -110,7 +131,7 @@
 		// The destination responded before it had read the body. The rest of the
 		// body must not be taken for the next request.
 		c.noReuse = true
-		_ = c.Close()
+		_ = c.conn.Close()
 		<-c.written
 	}
 }
@@ -143,12 +164,12 @@
 	return n, err
 }
 
-func (c *connection) send(request *fasthttp.Request) (int, error) {
-	counting := &countingWriter{Conn: c.Conn}
+func (c *connection) send(request *Request) (int, error) {
+	counting := &countingWriter{Conn: c.conn}
 	w := writers.Get().(*bufio.Writer)
 	defer writers.Put(w)
 	w.Reset(counting)
-	err := request.Write(w)
+	err := request.write(w)
 	if err == nil {
 		err = w.Flush()
 	}
@@ -177,12 +198,11 @@
 
 // receiveHead reads the head of a response that is not interim.
 func (c *connection) receiveHead(call *Call) Result {
-	header := &call.Response.Header
 	for range maxInterim {
-		if _, err := c.reader.Peek(1); err != nil {
+		if err := c.reader.await(); err != nil {
 			return c.fail(err, false, ConnectionBroken)
 		}
-		interim, err := c.readHead(header)
+		interim, err := c.readHead(call)
 		if err != nil {
 			return c.fail(err, false, Incomplete)
 		}
@@ -197,23 +217,50 @@
 // readHead reads the head of a response after it has checked its bytes, since fasthttp
 // accepts heads that other readers understand differently. It reports whether the response
 // is an interim one.
-func (c *connection) readHead(header *fasthttp.ResponseHeader) (interim bool, err error) {
+func (c *connection) readHead(call *Call) (interim bool, err error) {
 	var head validator.ResponseHead
 	for {
-		// The buffer bounds the head: Peek fails if more than its size is needed.
-		arrived, _ := c.reader.Peek(c.reader.Buffered())
-		end, err := head.Check(arrived)
+		end, err := head.Check(c.reader.arrived())
 		if err != nil {
 			return false, err
 		}
 		if end > 0 {
 			break
 		}
-		if _, err := c.reader.Peek(len(arrived) + 1); err != nil {
+		if err := c.reader.more(); err != nil {
 			return false, err
 		}
 	}
-	return head.Interim(), header.Read(c.reader)
+	data := c.reader.arrived()[:head.Size()]
+	if bytes.Count(data, []byte{'\n'}) > maxResponseLines {
+		return false, errTooManyFields
+	}
+	if cost := responseHeadCost(data); cost > freeResponseHead && !call.Memory.Grow(cost) {
+		return false, errNoMemory
+	}
+	c.reader.discard(len(data))
+	err = parseHead(data, call.Response.Header.Read)
+	c.reader.reduce()
+	return head.Interim(), err
+}
+
+// maxResponseLines bounds the fields of a response, which backend servers choose.
+const maxResponseLines = 1024
+
+var errTooManyFields = errors.New("response has too many fields")
+
+const (
+	// fieldCost is the memory that fasthttp takes for a field beside its bytes.
+	fieldCost = 96
+	// freeResponseHead is the part of the cost of an exchange that is for the head of its
+	// response.
+	freeResponseHead = 4 << 10
+)
+
+// responseHeadCost returns the memory that the head of a response and its copy for the caller
+// take, in bytes.
+func responseHeadCost(head []byte) int64 {
+	return 2 * int64(len(head)+fieldCost*bytes.Count(head, []byte{'\n'}))
 }
 
 // receiveBody reads the body of the call's response: up to call.BufferLimit or to the
@@ -226,6 +273,10 @@
 		return Answered
 	}
 	length := header.ContentLength()
+	if length == lengthUntilClose && call.RequireLength {
+		c.noReuse = true
+		return Incomplete
+	}
 	reader := newBodyReader(c.reader, length, call.bodyLimit())
 	reader.endsBody = c.requestWritten
 	if call.Stream && int64(length) > call.BufferLimit && reader.err == nil {
--- a/internal/transport/exchanger/cut_test.go
+++ b/internal/transport/exchanger/cut_test.go
@@ -82,8 +82,9 @@
 
 // receiveCut sends a request and returns the body of its answer, and whether it is complete.
 func receiveCut(pool *Pool, stream bool) (string, bool) {
-	request, response := &fasthttp.Request{}, &fasthttp.Response{}
-	request.SetRequestURI("http://test/")
+	request, response := &Request{}, &fasthttp.Response{}
+	request.Header.SetRequestURI("/")
+	request.Header.SetHost("test")
 	return receiveCall(pool, &Call{Request: request, Response: response, Stream: stream})
 }
 
--- a/internal/transport/exchanger/exchange.go
+++ b/internal/transport/exchanger/exchange.go
@@ -22,7 +22,7 @@
 
 // Exchange is one request on a connection and its response.
 type Exchange struct {
-	Request  fasthttp.Request
+	Request  Request
 	Response fasthttp.Response
 	// ReceivedAt is the time at which the whole request had been read.
 	ReceivedAt timer.Millis
--- a/internal/transport/exchanger/framing.go
+++ b/internal/transport/exchanger/framing.go
@@ -1,13 +1,34 @@
 package exchanger
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 )
 
+// headBuffer is the size of the pooled readers, which hold most heads.
+const headBuffer = 4 << 10
+
+var headReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headBuffer) }}
+
+// parseHead parses a whole head with one of fasthttp's functions, which read from a buffered
+// reader.
+func parseHead(head []byte, parse func(*bufio.Reader) error) error {
+	if len(head) > headBuffer {
+		return parse(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
+	}
+	reader := headReaders.Get().(*bufio.Reader)
+	defer headReaders.Put(reader)
+	reader.Reset(bytes.NewReader(head))
+	err := parse(reader)
+	reader.Reset(nil)
+	return err
+}
+
 var contentLengthName = []byte("\ncontent-length:")
 
 // hasRawContentLength reports whether a raw header block has a Content-Length field.
--- a/internal/transport/exchanger/fuzz_test.go
+++ b/internal/transport/exchanger/fuzz_test.go
@@ -27,7 +27,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		server := exchanger.NewServer(exchanger.ServerConfig{
-			Handler: exchanger.HandlerFunc(func(x *exchanger.Exchange) { x.Response.SetBody(x.Request.Body()) }),
+			Handler: exchanger.HandlerFunc(func(x *exchanger.Exchange) { x.Response.SetBody(x.Request.Body.Bytes()) }),
 			Limits:  limits, Reject: reject, Clock: timer.NewSystem(), Logger: slog.New(slog.DiscardHandler),
 		})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/exchanger/harness_test.go
+++ b/internal/transport/exchanger/harness_test.go
@@ -29,9 +29,10 @@
 	}
 }
 
-func reject(response *fasthttp.Response, problem exchanger.Problem) {
-	response.SetStatusCode(map[exchanger.Problem]int{
+func reject(x *exchanger.Exchange, problem exchanger.Problem) {
+	x.Response.SetStatusCode(map[exchanger.Problem]int{
 		exchanger.Malformed: 400, exchanger.HeaderTooLarge: 431, exchanger.BodyTooLarge: 413,
+		exchanger.OutOfMemory: 503, exchanger.TooManyConnections: 503,
 	}[problem])
 }
 
@@ -115,11 +116,11 @@
 
 func newCall(id string) *exchanger.Call {
 	call := &exchanger.Call{
-		Request: &fasthttp.Request{}, Response: &fasthttp.Response{},
+		Request: &exchanger.Request{}, Response: &fasthttp.Response{},
 		Deadline: time.Now().Add(testTimeout), MaxReuseIdle: 2 * timer.Second,
 		MatchResponse: func(h *fasthttp.ResponseHeader) bool { return string(h.Peek("X-Id")) == id },
 	}
-	call.Request.SetRequestURI("/a//b/../c?x=1")
+	call.Request.Header.SetRequestURI("/a//b/../c?x=1")
 	call.Request.Header.SetHost("host")
 	call.Request.Header.Set("X-Id", id)
 	return call
--- a/internal/transport/exchanger/memory.go
+++ b/internal/transport/exchanger/memory.go
@@ -5,23 +5,37 @@
 	"sync/atomic"
 )
 
-// Memory bounds the bytes of message bodies that a process holds at the same time.
-// It is safe for concurrent use. A nil Memory has no bound.
+// Memory bounds the bytes that the connections, requests and responses of a process hold
+// at the same time. It is safe for concurrent use. A nil Memory has no bound.
 type Memory struct {
 	limit int64
-	used  atomic.Int64
+	used  *atomic.Int64
 }
 
 // NewMemory returns a bound of limit bytes.
-func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
+func NewMemory(limit int64) *Memory { return &Memory{limit: limit, used: new(atomic.Int64)} }
+
+// Part returns the same memory with a lower bound, in percent of this one: its users are
+// refused more memory while the others can still get some.
+func (m *Memory) Part(percent int64) *Memory {
+	if m == nil {
+		return nil
+	}
+	return &Memory{limit: m.limit / percentWhole * percent, used: m.used}
+}
+
+const percentWhole = 100
 
 // Used returns the number of bytes that are reserved.
 func (m *Memory) Used() int64 { return m.used.Load() }
 
+// scarce reports whether less than a quarter of the memory is left.
+func (m *Memory) scarce() bool { return m != nil && m.used.Load() > m.limit-m.limit/4 }
+
 // NewReservation returns an empty reservation.
 func (m *Memory) NewReservation() *Reservation { return &Reservation{memory: m} }
 
-// Reservation is the memory held for the bodies of one exchange. It is safe for
+// Reservation is the memory held for one connection or one exchange. It is safe for
 // concurrent use. A nil Reservation has no bound.
 type Reservation struct {
 	memory *Memory
@@ -50,8 +64,22 @@
 	return true
 }
 
-// Close frees the reserved bytes. Bodies that are still read for the exchange, such
-// as that of an attempt that nobody waits for, get no more memory.
+// Shrink frees reserved bytes that are no longer held.
+func (r *Reservation) Shrink(bytes int64) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	bytes = min(bytes, r.held)
+	r.held -= bytes
+	if r.memory != nil {
+		r.memory.used.Add(-bytes)
+	}
+}
+
+// Close frees the reserved bytes. What is still read for the exchange, such as the response
+// to an attempt that nobody waits for, gets no more memory.
 func (r *Reservation) Close() {
 	if r == nil {
 		return
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -32,6 +32,13 @@
 	MaxIdle int
 	// IdleTimeout is how long an idle connection is kept.
 	IdleTimeout timer.Millis
+	// MaxAge is how long a connection is used; 0 has no bound.
+	MaxAge timer.Millis
+	// MaxConnections bounds the connections in use; 0 has no bound.
+	MaxConnections int
+	// Memory and Sockets bound what the connections of the process hold.
+	Memory  *Memory
+	Sockets *Sockets
 }
 
 // Pool holds connections to one destination. It never retries a request. It is
@@ -42,6 +49,7 @@
 
 	mu     sync.Mutex
 	idle   []*connection // The most recently used is last.
+	open   int
 	dialed uint64
 	epoch  uint64 // Incremented by CloseIdle.
 }
@@ -79,6 +87,7 @@
 	if conn == nil {
 		var result Result
 		if conn, result = p.dial(call.Deadline); conn == nil {
+			call.Unconnected = true
 			return result
 		}
 	}
@@ -137,7 +146,7 @@
 	p.epoch++
 	p.mu.Unlock()
 	for _, c := range idle {
-		_ = c.Close() // Nothing is in flight on it.
+		c.close()
 	}
 }
 
@@ -158,27 +167,70 @@
 		}
 		p.idle = p.idle[:len(p.idle)-1]
 		p.mu.Unlock()
-		if !conn.stale(p.config.IdleTimeout) {
+		if !conn.stale(p.config) {
 			return conn, epoch
 		}
-		_ = conn.Close() // Nothing is in flight on it.
+		conn.close()
 	}
 }
 
 func (p *Pool) dial(deadline time.Time) (*connection, Result) {
+	memory := p.config.Memory.NewReservation()
+	if !p.takeSocket() {
+		return nil, NoRoom
+	}
+	if !memory.Grow(connectionCost) {
+		p.giveSocketBack()
+		return nil, NoRoom
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", string(p.config.Address))
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, ConnectionRefused
-		}
-		return nil, NotSent
+		memory.Close()
+		p.giveSocketBack()
+		return nil, dialResult(err)
 	}
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return newConnection(conn), Answered
+	return newConnection(conn, memory, p.giveSocketBack), Answered
+}
+
+// connectionCost is the memory that a connection takes in this process: its buffer, its
+// socket and the stack of the goroutine that reads it.
+const connectionCost = 12 << 10
+
+// dialResult returns the result of a call for which no connection could be opened.
+func dialResult(err error) Result {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ConnectionRefused
+	}
+	for _, exhausted := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, exhausted) {
+			return NoRoom
+		}
+	}
+	return NotSent
+}
+
+// takeSocket counts a connection that is about to be opened. It returns false if there are
+// too many.
+func (p *Pool) takeSocket() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.config.MaxConnections > 0 && p.open >= p.config.MaxConnections || !p.config.Sockets.take() {
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *Pool) giveSocketBack() {
+	p.config.Sockets.giveBack()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 }
 
 func (p *Pool) release(conn *connection, epoch uint64) {
@@ -189,6 +241,6 @@
 	}
 	p.mu.Unlock()
 	if !keep {
-		_ = conn.Close() // Nothing is in flight on it.
+		conn.close()
 	}
 }
--- a/internal/transport/exchanger/pool_test.go
+++ b/internal/transport/exchanger/pool_test.go
@@ -170,7 +170,7 @@
 		}))
 		call := newCall("1")
 		call.Request.Header.SetMethod("POST")
-		call.Request.SetBody(make([]byte, 8<<20))
+		call.Request.Body = exchanger.NewContent(make([]byte, 8<<20))
 		Expect(pool.Do(call)).To(Equal(exchanger.Answered))
 		Expect(string(call.Response.Body())).To(Equal("early"))
 		next := newCall("2")
--- a/internal/transport/exchanger/server.go
+++ b/internal/transport/exchanger/server.go
@@ -1,6 +1,8 @@
 package exchanger
 
 import (
+	"container/list"
+	"context"
 	"errors"
 	"log/slog"
 	"maps"
@@ -9,10 +11,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -23,6 +25,8 @@
 	// HeaderTimeout bounds the time from the first byte of a request to its end.
 	HeaderTimeout timer.Millis
 	IdleTimeout   timer.Millis
+	// ConnectionAge is how long a connection is used; 0 has no bound.
+	ConnectionAge timer.Millis
 }
 
 // Problem is the reason why a request could not be read.
@@ -33,8 +37,11 @@
 	Malformed Problem = iota
 	HeaderTooLarge
 	BodyTooLarge
-	// OutOfMemory means that the bodies of other requests use the memory.
+	// OutOfMemory means that other requests and connections use the memory.
 	OutOfMemory
+	// TooManyConnections means that the request was not read since no connection could be
+	// closed in favour of the one on which it comes.
+	TooManyConnections
 )
 
 // ServerConfig holds what a Server needs.
@@ -42,12 +49,19 @@
 	Handler Handler
 	// Limits is called for each new connection, so that changes apply to new ones.
 	Limits func() Limits
-	// Reject sets the response to a request that could not be read.
-	Reject func(response *fasthttp.Response, problem Problem)
-	// Memory bounds the bodies of requests and of the responses to them.
+	// Reject sets the response to a request that could not be read. The request has a header
+	// only if its head was read.
+	Reject func(x *Exchange, problem Problem)
+	// Names are the fields of requests that the handler reads or sets. The others are in the
+	// Fields of the request. Nil means that the handler needs no fields but those of the message.
+	Names *separator.Names
+	// Memory bounds the connections, the requests and the responses to them.
 	Memory *Memory
-	Clock  timer.Clock
-	Logger *slog.Logger
+	// MaxConnections bounds the open connections; 0 has no bound. When there are more, the one
+	// that has waited longest for a request is closed.
+	MaxConnections int
+	Clock          timer.Clock
+	Logger         *slog.Logger
 }
 
 // Server serves HTTP/1.1 connections. It is safe for concurrent use.
@@ -58,12 +72,26 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*serverConn]struct{}
-	stopped   bool
+	// waiting are the connections on which no request has arrived as a whole since the
+	// last response, the one that has waited longest first.
+	waiting *list.List
+	// refusing counts the connections that get a refusal without having been added.
+	refusing int
+	stopped  bool
 }
 
 // NewServer returns a server without listeners.
 func NewServer(config ServerConfig) *Server {
-	return &Server{config: config, conns: map[*serverConn]struct{}{}}
+	return &Server{config: config, conns: map[*serverConn]struct{}{}, waiting: list.New()}
+}
+
+var messageNames = separator.NewNames(nil, nil)
+
+func (s *Server) names() *separator.Names {
+	if s.config.Names == nil {
+		return messageNames
+	}
+	return s.config.Names
 }
 
 // Serve accepts connections until the listener is closed by Close.
@@ -81,31 +109,49 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return Error.Wrap(err)
-		}
-		c := newServerConn(s, conn)
-		if !s.add(c) {
-			_ = conn.Close() // The server has stopped; no request was read.
+			if !isTemporary(err) {
+				return Error.Wrap(err)
+			}
+			s.config.Logger.Warn("connection not accepted", "error", err.Error())
+			s.closeLongestWaiting()
+			time.Sleep(acceptPause.Duration())
 			continue
 		}
-		go c.run()
+		s.open(conn)
 	}
 }
 
-func (s *Server) add(c *serverConn) bool {
+// acceptPause is the time between two tries to accept a connection while the process or the
+// system has no descriptors or memory for it.
+const acceptPause = 10 * timer.Millis(1)
+
+// isTemporary reports whether another connection may be accepted later.
+func isTemporary(err error) bool {
+	for _, temporary := range []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO, syscall.EPERM,
+	} {
+		if errors.Is(err, temporary) {
+			return true
+		}
+	}
+	return false
+}
+
+// OpenConnections returns the number of open connections.
+func (s *Server) OpenConnections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
-		return false
-	}
-	s.conns[c] = struct{}{}
-	return true
+	return len(s.conns)
 }
 
 func (s *Server) remove(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.place != nil {
+		s.waiting.Remove(c.place)
+		c.place = nil
+	}
 }
 
 // CloseAfterResponses makes every further response close its connection. Idle
@@ -142,6 +188,25 @@
 	}
 }
 
+// shutdownPoll is the time between two looks at the open connections.
+const shutdownPoll = 10 * timer.Millis(1)
+
+// Shutdown stops accepting, closes connections as they become idle, and closes all of them at
+// the end of the context.
+func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.Close()
+	s.CloseAfterResponses()
+	s.StopAccepting()
+	for s.CloseIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return Error.Wrap(ctx.Err())
+		case <-time.After(shutdownPoll.Duration()):
+		}
+	}
+	return nil
+}
+
 // Close stops accepting and closes every connection.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/transport/exchanger/server_test.go
+++ b/internal/transport/exchanger/server_test.go
@@ -37,7 +37,7 @@
 
 var _ = Describe("a server's connection", func() {
 	echo := func(x *exchanger.Exchange) {
-		x.Response.SetBodyString(string(x.Request.Header.RequestURI()) + "|" + string(x.Request.Body()))
+		x.Response.SetBodyString(string(x.Request.Header.RequestURI()) + "|" + string(x.Request.Body.Bytes()))
 	}
 
 	It("guards against responses to pipelined requests in the order of their completion", func() {
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"slices"
@@ -11,8 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
@@ -26,7 +24,9 @@
 	// Closing with unread bytes resets the connection and may lose the response; a
 	// request sent meanwhile must not be held for longer than a round trip or two.
 	lingerTimeout = 150 * timer.Millis(1)
-	writeBuffer   = 4 << 10
+	// maxDrained bounds the bytes that are read after the last request.
+	maxDrained  = 4 << 20
+	writeBuffer = 4 << 10
 )
 
 var (
@@ -39,26 +39,40 @@
 // written in the order of the requests, by the goroutine that completes the oldest
 // pending one.
 type serverConn struct {
-	server *Server
-	conn   net.Conn
-	reader *bufio.Reader
-	limits Limits
+	server   *Server
+	conn     net.Conn
+	reader   *input
+	limits   Limits
+	openedAt time.Time
+	// memory holds the cost of the connection.
+	memory *Reservation
+	// place is the position among the waiting connections since waitingSince; nil if it is
+	// not one. The server's lock guards them.
+	place        *list.Element
+	waitingSince time.Time
 
 	mu      sync.Mutex
 	pending []*Exchange
 	writing bool
 	reading bool // A request has begun to arrive.
+	arrived bool // The head of that request has arrived.
 	closed  bool // No further request is accepted.
 	notFull *sync.Cond
 }
 
-func newServerConn(server *Server, conn net.Conn) *serverConn {
+func newServerConn(server *Server, conn net.Conn, memory *Reservation) *serverConn {
 	limits := server.config.Limits()
-	c := &serverConn{server: server, conn: conn, limits: limits, reader: bufio.NewReaderSize(conn, limits.HeaderBytes)}
+	c := &serverConn{
+		server: server, conn: conn, limits: limits, openedAt: time.Now(), memory: memory,
+		reader: newInput(conn, limits.HeaderBytes, memory),
+	}
 	c.notFull = sync.NewCond(&c.mu)
 	return c
 }
 
+// wait makes the connection the last of the waiting ones. The server's lock must be held.
+func (c *serverConn) wait() { c.place, c.waitingSince = c.server.waiting.PushBack(c), time.Now() }
+
 // run reads requests until the connection ends.
 func (c *serverConn) run() {
 	defer c.terminate()
@@ -70,7 +84,9 @@
 			break
 		}
 		x := &Exchange{conn: c, turn: closedTurn, memory: c.server.config.Memory.NewReservation()}
-		if problem, ok := c.read(x); !ok {
+		problem, ok := c.read(x)
+		c.reader.reduce()
+		if !ok {
 			if problem != nil {
 				c.reject(x, *problem)
 			}
@@ -78,7 +94,7 @@
 			return
 		}
 		x.ReceivedAt = c.server.config.Clock.Now()
-		last := x.Request.Header.ConnectionClose() || !x.Request.Header.IsHTTP11()
+		last := x.Request.Header.ConnectionClose() || !x.Request.Header.IsHTTP11() || c.aged()
 		x.Close = last
 		if !c.enqueue(x) {
 			x.memory.Close()
@@ -92,12 +108,17 @@
 	c.drain()
 }
 
+// aged reports whether the connection is to be closed after the next response.
+func (c *serverConn) aged() bool {
+	return c.limits.ConnectionAge > 0 && time.Since(c.openedAt) > c.limits.ConnectionAge.Duration()
+}
+
 // awaitRequest waits for the first byte of a request. The idle timeout does not
 // apply while a request is in flight.
 func (c *serverConn) awaitRequest() bool {
 	for {
 		c.setReadTimeout(c.limits.IdleTimeout)
-		_, err := c.reader.Peek(1)
+		err := c.reader.await()
 		if err == nil {
 			return c.beginRequest()
 		}
@@ -130,72 +151,6 @@
 	return len(c.pending) == 0 || c.closed
 }
 
-// read reads a whole request. If it fails because the connection has ended, the
-// problem is nil.
-func (c *serverConn) read(x *Exchange) (*Problem, bool) {
-	c.setReadTimeout(c.limits.HeaderTimeout)
-	header := &x.Request.Header
-	header.SetNoDefaultContentType(true)
-	if err := header.Read(c.reader); err != nil {
-		return readProblem(err), false
-	}
-	if ambiguous(header) {
-		return problemPointer(Malformed), false
-	}
-	length := header.ContentLength()
-	if length > c.limits.BodyBytes {
-		return problemPointer(BodyTooLarge), false
-	}
-	if x.Request.MayContinue() {
-		if !c.sendContinue() {
-			return nil, false
-		}
-		header.Del(fasthttp.HeaderExpect)
-	}
-	if length == lengthUntilClose {
-		return nil, true // A request without a length has no body (RFC 9112, section 6.3).
-	}
-	return c.readBody(x, length)
-}
-
-func (c *serverConn) readBody(x *Exchange, length int) (*Problem, bool) {
-	reader := newBodyReader(c.reader, length, int64(c.limits.BodyBytes))
-	body, err := reader.readUpTo(int64(c.limits.BodyBytes)+1, x.memory)
-	switch {
-	case errors.Is(err, io.EOF):
-		if len(body) > 0 {
-			x.Request.SetBodyRaw(body)
-		}
-		return nil, true
-	case err == nil, errors.Is(err, errBodyTooLarge):
-		return problemPointer(BodyTooLarge), false
-	case errors.Is(err, errNoMemory):
-		return problemPointer(OutOfMemory), false
-	}
-	return readProblem(err), false
-}
-
-func problemPointer(p Problem) *Problem { return &p }
-
-// readProblem maps a read error to a problem, or to nil if the connection has ended.
-func readProblem(err error) *Problem {
-	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) {
-		return problemPointer(HeaderTooLarge)
-	}
-	var network net.Error
-	if errors.As(err, &network) || isConnectionEnd(err) {
-		return nil
-	}
-	return problemPointer(Malformed)
-}
-
-// ambiguous reports whether a request has both a chunked body and a Content-Length
-// field, so that two parsers could disagree about its end (RFC 9112, section 6.1).
-func ambiguous(header *fasthttp.RequestHeader) bool {
-	return header.ContentLength() == -1 && hasRawContentLength(header.RawHeaders())
-}
-
 // sendContinue writes the 100 Continue response unless earlier responses are
 // pending. It returns false if the write failed.
 func (c *serverConn) sendContinue() bool {
@@ -222,7 +177,7 @@
 		x.turn = make(chan struct{})
 	}
 	c.pending = append(c.pending, x)
-	c.reading = false
+	c.reading, c.arrived = false, false
 	return true
 }
 
@@ -237,7 +192,8 @@
 }
 
 func (c *serverConn) reject(x *Exchange, problem Problem) {
-	c.server.config.Reject(&x.Response, problem)
+	c.endHead()
+	c.server.config.Reject(x, problem)
 	x.Close = true
 	if c.enqueue(x) {
 		c.finish(x)
@@ -274,6 +230,9 @@
 		c.notFull.Signal()
 	}
 	c.writing = false
+	if len(c.pending) == 0 && !c.arrived && !c.closed {
+		c.server.beginWait(c)
+	}
 	if c.closed {
 		c.disconnectPending()
 	}
@@ -286,6 +245,7 @@
 		x.Response.SetConnectionClose()
 	}
 	x.Response.Header.SetNoDefaultContentType(true)
+	x.Response.SkipBody = x.Response.SkipBody || x.Request.Header.IsHead()
 	var err error
 	if x.body != nil {
 		err = c.writeStream(x)
@@ -338,12 +298,13 @@
 
 // drain discards input after the last request until the caller closes.
 func (c *serverConn) drain() {
-	for {
+	for drained := 0; drained < maxDrained; drained += c.reader.Buffered() {
+		c.reader.discard(c.reader.Buffered())
 		closed := c.isClosed()
 		if !closed {
 			c.setReadTimeout(c.limits.IdleTimeout)
 		}
-		_, err := c.reader.Discard(1)
+		err := c.reader.await()
 		if err != nil && (closed || !errors.Is(err, os.ErrDeadlineExceeded) || c.isIdle()) {
 			return
 		}
@@ -371,6 +332,30 @@
 	_ = c.conn.Close() // Nothing is read or written after this.
 	callAll(functions)
 	c.server.remove(c)
+	c.memory.Close()
+}
+
+// evict closes the connection in favour of another one. No request is in flight on it.
+func (c *serverConn) evict() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	_ = c.conn.Close() // This also ends the reading goroutine.
+}
+
+// refuse answers a connection that was not added with a refusal of the request that it
+// brings, which is not read.
+func (c *serverConn) refuse(problem Problem) {
+	defer c.server.endRefusal()
+	defer c.conn.Close()
+	x := &Exchange{conn: c, turn: closedTurn, memory: c.memory}
+	c.server.config.Reject(x, problem)
+	if c.write(x, true) == nil {
+		c.mu.Lock()
+		c.closed = true
+		c.mu.Unlock()
+		c.drain()
+	}
 }
 
 // closeIdle closes the connection and returns true if no request is pending.
--- a/internal/transport/exchanger/stream.go
+++ b/internal/transport/exchanger/stream.go
@@ -10,6 +10,10 @@
 const (
 	// streamBuffer is the most that is read from a streamed body before it is written.
 	streamBuffer = 32 << 10
+	// scarceBuffer is the same while there is no memory for a larger buffer.
+	scarceBuffer = 2 << 10
+	// streamCost is the memory that passing on a body takes beside scarceBuffer.
+	streamCost = streamHead + streamBuffer + 64
 	// streamHead leaves room for the head of the response in the first write.
 	streamHead = 8 << 10
 	// chunkHead is the size of a chunk's size line: four digits and a line break.
@@ -27,17 +31,23 @@
 // writeStream writes a response and its body as the body arrives. The body stays
 // unread while the caller does not read.
 func (c *serverConn) writeStream(x *Exchange) error {
-	pooled := streamBuffers.Get().(*[]byte)
-	defer streamBuffers.Put(pooled)
+	size := scarceBuffer
+	var buffer []byte
+	if x.memory.Grow(streamCost) {
+		size = streamBuffer
+		pooled := streamBuffers.Get().(*[]byte)
+		defer streamBuffers.Put(pooled)
+		buffer = *pooled
+	}
 	length := x.body.Length
 	if length == lengthChunked && !x.Request.Header.IsHTTP11() {
 		length = lengthUntilClose // HTTP/1.0 has no chunks.
 	}
 	x.Response.Header.SetContentLength(length)
-	out := append((*pooled)[:0], x.Response.Header.Header()...)
+	out := append(buffer[:0], x.Response.Header.Header()...)
 	for {
 		var err error
-		out, err = appendFromBody(out, x.body, length == lengthChunked)
+		out, err = appendFromBody(out, x.body, size, length == lengthChunked)
 		if err != nil && !errors.Is(err, io.EOF) {
 			resetOnClose(c.conn)
 			return Error.Wrap(err)
@@ -54,17 +64,17 @@
 	}
 }
 
-// appendFromBody appends what has arrived of a body, as a chunk if chunked is set. It
-// returns io.EOF at the end of the body.
-func appendFromBody(out []byte, body *Body, chunked bool) ([]byte, error) {
+// appendFromBody appends what has arrived of a body, up to size bytes, as a chunk if chunked
+// is set. It returns io.EOF at the end of the body.
+func appendFromBody(out []byte, body *Body, size int, chunked bool) ([]byte, error) {
 	start := len(out)
 	if chunked {
 		start += chunkHead
 	}
-	if cap(out) < start+streamBuffer {
-		out = append(make([]byte, 0, start+streamBuffer+len(lastChunk)), out...)
+	if cap(out) < start+size {
+		out = append(make([]byte, 0, start+size+len(lastChunk)+2), out...)
 	}
-	n, err := body.Read(out[start : start+streamBuffer])
+	n, err := body.Read(out[start : start+size])
 	switch {
 	case !chunked:
 		return out[:start+n], err
--- a/internal/transport/exchanger/upload_test.go
+++ b/internal/transport/exchanger/upload_test.go
@@ -49,10 +49,11 @@
 		t.Run(fmt.Sprintf("passed on %v", stream), func(t *testing.T) {
 			pool := NewPool(PoolConfig{Address: address, ConnectTimeout: timer.Second})
 			for round := range 200 {
-				request, response := &fasthttp.Request{}, &fasthttp.Response{}
-				request.SetRequestURI("http://test/")
+				request, response := &Request{}, &fasthttp.Response{}
+				request.Header.SetRequestURI("/")
+				request.Header.SetHost("test")
 				request.Header.SetMethod(fasthttp.MethodPost)
-				request.SetBodyRaw(make([]byte, 8<<20))
+				request.Body = NewContent(make([]byte, 8<<20))
 				if body, complete := receiveCall(pool, &Call{Request: request, Response: response, Stream: stream}); complete {
 					t.Fatalf("round %d: %q was taken for a whole answer", round, body)
 				}
@@ -68,10 +69,11 @@
 		return false
 	})
 	for _, stream := range []bool{false, true} {
-		request, response := &fasthttp.Request{}, &fasthttp.Response{}
-		request.SetRequestURI("http://test/")
+		request, response := &Request{}, &fasthttp.Response{}
+		request.Header.SetRequestURI("/")
+		request.Header.SetHost("test")
 		request.Header.SetMethod(fasthttp.MethodPost)
-		request.SetBodyRaw(make([]byte, 1<<20))
+		request.Body = NewContent(make([]byte, 1<<20))
 		pool := NewPool(PoolConfig{Address: address, ConnectTimeout: timer.Second})
 		if body, complete := receiveCall(pool, &Call{Request: request, Response: response, Stream: stream}); !complete || body != "whole answer" {
 			t.Errorf("passed on %v: complete %v with body %q", stream, complete, body)
--- a/pkg/identifier/fingerprint.go
+++ b/pkg/identifier/fingerprint.go
@@ -8,14 +8,17 @@
 // Fingerprint identifies requests with the same method, path and body.
 type Fingerprint [16]byte
 
-// NewFingerprint hashes a request with SHA-256 and keeps the first 16 bytes.
-func NewFingerprint(method, path string, body []byte) Fingerprint {
+// NewFingerprint hashes a request with SHA-256 and keeps the first 16 bytes. The body may be
+// in several segments.
+func NewFingerprint(method, path string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	h.Write([]byte(method))
 	h.Write([]byte{0})
 	h.Write([]byte(path))
 	h.Write([]byte{0})
-	h.Write(body)
+	for _, segment := range body {
+		h.Write(segment)
+	}
 	var sum [sha256.Size]byte
 	return Fingerprint(h.Sum(sum[:0])[:16])
 }
