--- a/internal/capacity/path_test.go
+++ b/internal/capacity/path_test.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/limiter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -166,7 +167,10 @@
 			address = listen(b, func(ctx *fasthttp.RequestCtx) {
 				attempt(1).Encode(&ctx.Request.Header)
 				var decoded encoder.Attempt
-				if decoded.Decode(&ctx.Request.Header) != nil || f.Send(&ctx.Request, &ctx.Response, timer.Second) != forwarder.Answered {
+				request := &exchanger.Request{Body: exchanger.NewContent(ctx.Request.Body())}
+				ctx.Request.Header.CopyTo(&request.Header)
+				if decoded.Decode(&request.Header) != nil ||
+					f.Send(&exchanger.Call{Request: request, Response: &ctx.Response}, timer.Second) != forwarder.Answered {
 					ctx.SetStatusCode(fasthttp.StatusBadGateway)
 				}
 			}).Addr().String()
@@ -208,9 +212,10 @@
 			var done sync.WaitGroup
 			for range count {
 				done.Go(func() {
-					call, answer := new(fasthttp.Request), new(fasthttp.Response)
-					call.SetRequestURI("http://" + address + "/x")
-					if result := f.Send(call, answer, 20*timer.Second); result != forwarder.Answered {
+					call := &exchanger.Call{Request: &exchanger.Request{}, Response: &fasthttp.Response{}}
+					call.Request.Header.SetRequestURI("/x")
+					call.Request.Header.SetHost(address)
+					if result := f.Send(call, 20*timer.Second); result != forwarder.Answered {
 						panic(result)
 					}
 				})
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -67,8 +67,24 @@
 	Connections      int64 `json:"connections"`
 	RequestsInFlight int64 `json:"requests_in_flight"`
 	CallDepth        int64 `json:"call_depth"`
+	// MemoryMB is the memory of the VM for this process.
+	MemoryMB int64 `json:"memory_mb"`
 }
 
+// Parts of the VM's memory, in percent. The rest is for what the Go runtime does not count,
+// such as the program itself, and for garbage.
+const (
+	requestPercent = 45
+	runtimePercent = 78
+	wholePercent   = 100
+)
+
+// RequestMemory returns the bytes that connections, requests and responses may hold.
+func (l Limits) RequestMemory() int64 { return l.MemoryMB << 20 / wholePercent * requestPercent }
+
+// RuntimeMemory returns the bytes that the Go runtime should not exceed.
+func (l Limits) RuntimeMemory() int64 { return l.MemoryMB << 20 / wholePercent * runtimePercent }
+
 // Operator is a person or program that may use the administration API.
 type Operator struct {
 	Name        identifier.OperatorName `json:"name"`
@@ -93,10 +109,14 @@
 	defaultRequestsInFlight = 4096
 	maxConcurrency          = 1 << 20
 	defaultCallDepth        = 8
-	defaultKeyShards        = 64
-	maxKeyShards            = 1 << 16
-	defaultShutdownTimeout  = 30 * timer.Second
-	maxShutdownTimeout      = 10 * timer.Minute
+	// defaultMemoryMB is that of the smallest VMs in use.
+	defaultMemoryMB        = 184
+	minMemoryMB            = 64
+	maxMemoryMB            = 1 << 20
+	defaultKeyShards       = 64
+	maxKeyShards           = 1 << 16
+	defaultShutdownTimeout = 30 * timer.Second
+	maxShutdownTimeout     = 10 * timer.Minute
 )
 
 var (
@@ -111,6 +131,7 @@
 		Limits: Limits{
 			HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes, Connections: defaultConnections,
 			RequestsInFlight: defaultRequestsInFlight, CallDepth: defaultCallDepth,
+			MemoryMB: defaultMemoryMB,
 		},
 		Logging: Logging{Level: "info"}, Policy: policies[0],
 		KeyShards: defaultKeyShards, ShutdownTimeout: defaultShutdownTimeout,
@@ -174,6 +195,7 @@
 	checkRange("limits.connections", l.Connections, 1, maxConcurrency, findings)
 	checkRange("limits.requests_in_flight", l.RequestsInFlight, 1, maxConcurrency, findings)
 	checkRange("limits.call_depth", l.CallDepth, 1, 64, findings)
+	checkRange("limits.memory_mb", l.MemoryMB, minMemoryMB, maxMemoryMB, findings)
 }
 
 func (s *Settings) checkOperators(findings *reporter.Findings) {
--- a/internal/protocol/encoder/refusal.go
+++ b/internal/protocol/encoder/refusal.go
@@ -20,10 +20,7 @@
 	RetryAfterMs timer.Millis      `json:"retry_after_ms,omitempty"`
 }
 
-// Write sends the refusal as headers and a JSON body.
-func (r Refusal) Write(ctx *fasthttp.RequestCtx) { r.WriteResponse(&ctx.Response) }
-
-// WriteResponse replaces a response with the refusal.
+// WriteResponse replaces a response with the refusal, as headers and a JSON body.
 func (r Refusal) WriteResponse(response *fasthttp.Response) {
 	response.Reset()
 	response.SetStatusCode(r.Status())
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/prober"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -39,6 +40,10 @@
 	logger   *slog.Logger
 	clock    timer.Clock
 
+	// memory bounds what connections, requests and responses hold at the same time.
+	memory      *exchanger.Memory
+	connections connections
+
 	// incarnation identifies this process in attempts and leases.
 	incarnation identifier.Incarnation
 
@@ -106,9 +111,13 @@
 		membership: holder.NewMembership(tracker.Config{
 			Self: settings.Node, FailureDomain: settings.FailureDomain, Retention: settings.Log.Retention,
 		}),
-		peers:           receiver.NewPeers(int(settings.Limits.BodyBytes)),
 		measuringBudget: receiver.NewMeasuringBudget(clock),
+		memory:          exchanger.NewMemory(settings.Limits.RequestMemory()),
+		connections:     newConnections(settings.Limits),
 	}
+	d.peers = receiver.NewPeers(receiver.PeersConfig{
+		MaxAnswerBytes: int(settings.Limits.BodyBytes), Memory: d.memory, Sockets: d.connections.outgoing,
+	})
 	d.broadcaster = newQuarantineBroadcaster(d)
 	d.publisher = publisher.New(publisher.Config{Log: d.log, Lookup: d.configuration})
 	d.claimer = d.newClaimer()
@@ -117,6 +126,7 @@
 	d.admission = receiver.NewAdmission(receiver.AdmissionConfig{
 		Clock: clock, FailureDomain: settings.FailureDomain, Configuration: d.configuration,
 		MeasuringBudget: d.measuringBudget, MaxAnswerBytes: int(settings.Limits.BodyBytes),
+		Memory: d.memory, Sockets: d.connections.outgoing,
 		IsSoleMember: d.isSoleMember, BroadcastQuarantine: d.broadcaster.add, OnAnnouncementChange: d.applyAnnouncement, Logger: logger,
 	})
 	var err error
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -1,15 +1,16 @@
 package runner
 
 import (
+	"bytes"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/http"
 	"net/http/pprof"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/adapter"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/responder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -26,55 +27,56 @@
 	readTimeout          = 30 * timer.Second
 	maxAnnouncementBytes = 64 << 10
 	maxMessageBytes      = 16 << 20
+	// peerHeaders is how much larger the head of an attempt may be than that of a request:
+	// daemons add fields and end each line in a carriage return.
+	peerHeaders = 2
 )
 
 // servers holds the servers of a daemon.
 type servers struct {
-	ingress        *fasthttp.Server
-	peer           *fasthttp.Server
-	local          *fasthttp.Server
-	administration *http.Server
+	ingress        *exchanger.Server
+	peer           *exchanger.Server
+	local          *exchanger.Server
+	administration *exchanger.Server
 	failed         chan error
 }
 
 func (d *daemon) listen() (*servers, error) {
-	limits := d.settings.Limits
-	newServer := func(handler fasthttp.RequestHandler, body int64) *fasthttp.Server {
-		return &fasthttp.Server{
-			Handler: limitConnectionAge(handler), ErrorHandler: receiver.HandleError, Concurrency: int(limits.Connections), ReadBufferSize: int(limits.HeaderBytes),
-			MaxRequestBodySize: int(body), ReadTimeout: readTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
-			NoDefaultServerHeader:        true,
-			DisablePreParseMultipartForm: true, NoDefaultContentType: true,
-			SecureErrorLogMessage: true, Logger: serverLogger{d.logger}, CloseOnShutdown: true,
-		}
-	}
 	peerResponder := responder.New(responder.Config{
 		Instance: d.settings.Node, Incarnation: d.incarnation, Followers: d.followers, Snapshots: d,
 		Announcer: d.announcer, Admission: d.admission, Keys: d.claimer,
 		Version: func() identifier.Version { return d.configuration.View().Version }, Draining: d.draining,
 	})
-	s := &servers{
-		ingress:        newServer(d.ingress.Serve, limits.BodyBytes),
-		peer:           newServer(peerResponder.Handler(d.admission.Serve), max(limits.BodyBytes, maxMessageBytes)),
-		local:          newServer(d.serveLocal, maxAnnouncementBytes),
-		administration: &http.Server{Handler: d.administration(), ReadHeaderTimeout: readTimeout.Duration()},
-		failed:         make(chan error, 4),
-	}
+	limits, connections := d.settings.Limits, d.connections
+	s := &servers{failed: make(chan error, 4)}
+	s.ingress = d.newServer(limits.HeaderBytes, limits.BodyBytes, exchanger.ServerConfig{
+		Handler: d.ingress, Names: receiver.Names, Memory: d.memory.Part(callersPercent), MaxConnections: connections.callers,
+	})
+	s.peer = d.newServer(peerHeaders*limits.HeaderBytes, max(limits.BodyBytes, maxMessageBytes), exchanger.ServerConfig{
+		Handler: peerResponder.Handler(d.admission), Names: responder.Names, Memory: d.memory.Part(peersPercent), MaxConnections: connections.peers,
+	})
+	s.local = d.newServer(limits.HeaderBytes, maxAnnouncementBytes, exchanger.ServerConfig{
+		Handler: exchanger.HandlerFunc(d.serveLocal), Memory: d.memory, MaxConnections: localConnections,
+	})
+	s.administration = d.newServer(limits.HeaderBytes, maxSheetBytes, exchanger.ServerConfig{
+		Handler: adapter.New(d.administration(), adapter.Config{Cost: adapter.MessageCost}),
+		Names:   separator.NewNames(adapter.Fields(), nil), Memory: d.memory, MaxConnections: localConnections,
+	})
 	for _, part := range []struct {
 		address identifier.Address
-		serve   func(net.Listener) error
+		server  *exchanger.Server
 	}{
-		{d.settings.Addresses.Peer, s.peer.Serve},
-		{d.settings.Addresses.Local, s.local.Serve},
-		{d.settings.Addresses.Administration, s.administration.Serve},
-		{d.settings.Addresses.Ingress, s.ingress.Serve},
+		{d.settings.Addresses.Peer, s.peer},
+		{d.settings.Addresses.Local, s.local},
+		{d.settings.Addresses.Administration, s.administration},
+		{d.settings.Addresses.Ingress, s.ingress},
 	} {
-		listener, err := net.Listen("tcp", string(part.address))
+		listener, err := exchanger.Listen("tcp", part.address)
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
 		go func() {
-			if err := part.serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := part.server.Serve(listener); err != nil {
 				s.failed <- err
 			}
 		}()
@@ -82,31 +84,33 @@
 	return s, nil
 }
 
-// limitConnectionAge closes a connection after a response once it is older than
-// connectionLifetime.
-func limitConnectionAge(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		handler(ctx)
-		if time.Since(ctx.ConnTime()) > connectionLifetime.Duration() {
-			ctx.SetConnectionClose()
-		}
+// newServer completes the configuration of a server whose requests have heads and bodies of
+// at most these sizes.
+func (d *daemon) newServer(headerBytes, bodyBytes int64, config exchanger.ServerConfig) *exchanger.Server {
+	limits := exchanger.Limits{
+		HeaderBytes: int(headerBytes), BodyBytes: int(bodyBytes),
+		HeaderTimeout: readTimeout, IdleTimeout: callerIdleTimeout, ConnectionAge: connectionLifetime,
 	}
+	config.Limits = func() exchanger.Limits { return limits }
+	config.Reject, config.Clock, config.Logger = receiver.Reject, d.clock, d.logger
+	return exchanger.NewServer(config)
 }
 
 // serveLocal handles announcements of the backend server.
-func (d *daemon) serveLocal(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != "/announce" || !ctx.IsPost() {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+func (d *daemon) serveLocal(x *exchanger.Exchange) {
+	path, _, _ := bytes.Cut(x.Request.Header.RequestURI(), []byte{'?'})
+	if string(path) != "/announce" || !x.Request.Header.IsPost() {
+		x.Response.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	announcement, findings := receiver.DecodeAnnouncement(ctx.PostBody())
+	announcement, findings := receiver.DecodeAnnouncement(x.Request.Body.Bytes())
 	if len(findings) > 0 {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		ctx.SetContentType("application/json")
+		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
+		x.Response.Header.SetContentType("application/json")
 		body, _ := json.Marshal(struct { // The error is ignored: findings hold only text.
 			Findings []reporter.Finding `json:"findings"`
 		}{findings})
-		ctx.SetBody(body)
+		x.Response.SetBody(body)
 		return
 	}
 	d.admission.Announce(announcement)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -66,7 +67,7 @@
 // connections.
 func (d *daemon) awaitCallersDisconnected(ctx context.Context, s *servers) {
 	deadline := d.clock.Now() + callerCloseTimeout
-	for s.ingress.GetOpenConnectionsCount() > 0 && d.clock.Now() < deadline && ctx.Err() == nil {
+	for s.ingress.OpenConnections() > 0 && d.clock.Now() < deadline && ctx.Err() == nil {
 		time.Sleep(stopPollInterval.Duration())
 	}
 }
@@ -82,14 +83,11 @@
 }
 
 func (d *daemon) close(ctx context.Context, s *servers) {
-	for _, server := range []interface{ ShutdownWithContext(context.Context) error }{s.ingress, s.peer, s.local} {
-		if err := server.ShutdownWithContext(ctx); err != nil {
+	for _, server := range []*exchanger.Server{s.ingress, s.peer, s.local, s.administration} {
+		if err := server.Shutdown(ctx); err != nil {
 			d.logger.Warn("server did not shut down", "error", err.Error())
 		}
 	}
-	if err := s.administration.Shutdown(ctx); err != nil {
-		d.logger.Warn("administration server did not shut down", "error", err.Error())
-	}
 	if err := d.prober.Close(); err != nil {
 		d.logger.Warn("closing the probe socket failed", "error", err.Error())
 	}
--- a/internal/transport/forwarder/cut_test.go
+++ b/internal/transport/forwarder/cut_test.go
@@ -35,11 +35,10 @@
 				f := forwarder.New(forwarder.Config{Address: cutServer(t, answer, reset), MaxConnections: 4, ConnectTimeout: timer.Second, MaxAnswerBytes: 1 << 20})
 				whole := c.head + c.body
 				for end := range len(whole) {
-					request, response := &fasthttp.Request{}, &fasthttp.Response{}
-					request.SetRequestURI("http://test/")
+					call := newCall()
 					answer.Store(whole[:end])
-					if result := f.Send(request, response, 5*timer.Second); result == forwarder.Answered {
-						t.Errorf("%q was taken for a whole answer: %d, %q", whole[:end], response.StatusCode(), response.Body())
+					if result := f.Send(call, 5*timer.Second); result == forwarder.Answered {
+						t.Errorf("%q was taken for a whole answer: %d, %q", whole[:end], call.Response.StatusCode(), call.Response.Body())
 					}
 				}
 			})
--- a/internal/transport/forwarder/endless_test.go
+++ b/internal/transport/forwarder/endless_test.go
@@ -44,13 +44,12 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := forwarder.New(forwarder.Config{Address: endlessServer(t, c.start, c.repeated), MaxConnections: 1, ConnectTimeout: timer.Second, MaxAnswerBytes: maxAnswer})
-			request, response := &fasthttp.Request{}, &fasthttp.Response{}
-			request.SetRequestURI("http://test/")
+			call := newCall()
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
 			started := time.Now()
-			result := f.Send(request, response, timeout)
+			result := f.Send(call, timeout)
 			if took := time.Since(started); took > (timeout + timer.Second).Duration() {
 				t.Errorf("took %v", took)
 			}
@@ -59,7 +58,7 @@
 				t.Errorf("%d bytes of heap in use", held)
 			}
 			if result == forwarder.Answered {
-				t.Errorf("taken for an answer with a body of %d bytes", len(response.Body()))
+				t.Errorf("taken for an answer with a body of %d bytes", len(call.Response.Body()))
 			}
 		})
 	}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -1,14 +1,10 @@
-// Package forwarder sends HTTP requests with fasthttp and reports exactly how
-// far each one got. It never retries a request after a byte was written.
-//
-// By default fasthttp sends idempotent requests up to 5 times; every client
-// created here turns that off. The only retry left is for a pooled connection
-// that the other end had already closed, when no byte was written.
+// Package forwarder sends HTTP requests to one destination and reports exactly how far each
+// one got. It never retries a request after a byte was written.
 //
 // # Usage
 //
 //	f := forwarder.New(forwarder.Config{Address: "10.0.0.5:8002", MaxConnections: 240})
-//	result := f.Send(request, response, 200*timer.Millisecond)
+//	result := f.Send(&exchanger.Call{Request: request, Response: response}, 200*timer.Millisecond)
 //	switch result {
 //	case forwarder.Answered: ...
 //	case forwarder.NotSent: ...
@@ -17,12 +13,9 @@
 package forwarder
 
 import (
-	"errors"
-	"net"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -33,8 +26,6 @@
 const (
 	defaultIdleTimeout = 2 * timer.Second
 	maxAge             = 60 * timer.Second
-	// maxStaleAttempts bounds how many closed pooled connections Send tries.
-	maxStaleAttempts = 3
 )
 
 // Config describes one destination.
@@ -46,6 +37,9 @@
 	MaxAnswerBytes int
 	// IdleTimeout overrides how long an unused connection is kept.
 	IdleTimeout timer.Millis
+	// Memory and Sockets bound the connections, with those of other forwarders.
+	Memory  *exchanger.Memory
+	Sockets *exchanger.Sockets
 }
 
 // Result is the outcome of Send: how far the request got.
@@ -71,7 +65,8 @@
 
 // Forwarder sends requests to one destination. It is safe for concurrent use.
 type Forwarder struct {
-	client fasthttp.HostClient
+	config Config
+	pool   *exchanger.Pool
 }
 
 // New returns a forwarder; it connects when the first request is sent.
@@ -79,91 +74,37 @@
 	if config.IdleTimeout == 0 {
 		config.IdleTimeout = defaultIdleTimeout
 	}
-	dial := func(address string, _ time.Duration) (net.Conn, error) {
-		conn, err := net.DialTimeout("tcp", address, config.ConnectTimeout.Duration())
-		if err != nil {
-			return nil, &dialError{err}
-		}
-		return newConnection(conn), nil
-	}
-	return &Forwarder{client: fasthttp.HostClient{
-		Addr:                          string(config.Address),
-		DialTimeout:                   dial,
-		MaxConns:                      config.MaxConnections,
-		MaxIdleConnDuration:           config.IdleTimeout.Duration(),
-		MaxConnDuration:               maxAge.Duration(),
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    neverRetry,
-		MaxResponseBodySize:           config.MaxAnswerBytes,
-		ReadBufferSize:                32 << 10,
-		NoDefaultUserAgentHeader:      true,
-		DisableHeaderNamesNormalizing: false,
-		DisablePathNormalizing:        true,
-	}}
+	return &Forwarder{config: config, pool: exchanger.NewPool(exchanger.PoolConfig{
+		Address: config.Address, ConnectTimeout: config.ConnectTimeout,
+		MaxIdle: config.MaxConnections, MaxConnections: config.MaxConnections, IdleTimeout: config.IdleTimeout, MaxAge: maxAge,
+		Memory: config.Memory, Sockets: config.Sockets,
+	})}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
-// Send forwards a request and waits for the whole response. The request and the
-// response are in use until it returns.
-func (f *Forwarder) Send(request *fasthttp.Request, response *fasthttp.Response, timeout timer.Millis) Result {
-	deadline := time.Now().Add(timeout.Duration())
-	for range maxStaleAttempts {
-		err := f.client.DoDeadline(request, response, deadline)
-		if errors.Is(err, errStale) {
-			f.client.CloseIdleConnections()
-			continue
-		}
-		result := classify(response, err)
-		if result == TimedOut {
-			f.client.CloseIdleConnections()
+// Send forwards a request and waits for the whole response. The request and the response of
+// the call are in use until it returns; call.Reused says whether the connection had carried
+// other requests, so that the response may be a late one to one of them.
+func (f *Forwarder) Send(call *exchanger.Call, timeout timer.Millis) Result {
+	call.Deadline = time.Now().Add(timeout.Duration())
+	call.MaxReuseIdle, call.BodyLimit, call.RequireLength = f.config.IdleTimeout, int64(f.config.MaxAnswerBytes), true
+	result := f.pool.Do(call)
+	switch result {
+	case exchanger.Answered:
+		return Answered
+	case exchanger.ConnectionBroken:
+		return ConnectionBroken
+	case exchanger.TimedOut:
+		return TimedOut
+	case exchanger.ConnectionRefused, exchanger.NotSent:
+		if call.Unconnected {
+			return ConnectionRefused
 		}
-		return result
+	case exchanger.Incomplete, exchanger.Streaming, exchanger.Aborted:
+		return Incomplete
+	case exchanger.Expired, exchanger.NoRoom:
 	}
 	return NotSent
 }
 
-// Reused reports whether a response may have come on a connection that had carried other
-// requests: it may then be a late one to one of them.
-func Reused(response *fasthttp.Response) bool {
-	address, tracked := response.LocalAddr().(*connectionAddr)
-	return !tracked || address.conn.requests.Load() > 1
-}
-
 // CloseIdle closes all idle connections.
-func (f *Forwarder) CloseIdle() { f.client.CloseIdleConnections() }
-
-func classify(response *fasthttp.Response, err error) Result {
-	address, tracked := response.LocalAddr().(*connectionAddr)
-	if err == nil {
-		if tracked && address.conn.eof {
-			return Incomplete
-		}
-		return Answered
-	}
-	var failed *dialError
-	if errors.As(err, &failed) {
-		return ConnectionRefused
-	}
-	if !tracked || address.conn.unwritten {
-		return NotSent
-	}
-	if address.conn.phase == phaseAnswered {
-		return Incomplete
-	}
-	if isTimeout(err) {
-		return TimedOut
-	}
-	return ConnectionBroken
-}
-
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout()
-}
-
-// dialError marks an error from opening a connection.
-type dialError struct{ error }
-
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error { return e.error }
+func (f *Forwarder) CloseIdle() { f.pool.CloseIdle() }
--- a/internal/transport/forwarder/forwarder_test.go
+++ b/internal/transport/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -84,13 +85,18 @@
 }
 
 func sendWith(f *forwarder.Forwarder, method string, timeout timer.Millis) forwarder.Result {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://backend/orders")
-	request.Header.SetMethod(method)
-	request.Header.Set("Idempotency-Key", "k-1")
-	return f.Send(request, response, timeout)
+	call := newCall()
+	call.Request.Header.SetMethod(method)
+	call.Request.Header.Set("Idempotency-Key", "k-1")
+	return f.Send(call, timeout)
+}
+
+// newCall returns a GET request.
+func newCall() *exchanger.Call {
+	call := &exchanger.Call{Request: &exchanger.Request{}, Response: &fasthttp.Response{}}
+	call.Request.Header.SetRequestURI("/orders")
+	call.Request.Header.SetHost("backend")
+	return call
 }
 
 var _ = Describe("the result of a request", func() {
--- a/internal/transport/forwarder/odd_test.go
+++ b/internal/transport/forwarder/odd_test.go
@@ -54,11 +54,10 @@
 			})
 			f := forwarder.New(forwarder.Config{Address: address, MaxConnections: 1, ConnectTimeout: timer.Second, MaxAnswerBytes: 1 << 20})
 			for round, valid := range []bool{true, c.valid} {
-				request, response := &fasthttp.Request{}, &fasthttp.Response{}
-				request.SetRequestURI("http://test/")
-				result := f.Send(request, response, 5*timer.Second)
-				if answered := result == forwarder.Answered && string(response.Body()) == "whole answer"; answered != valid || !valid && result != forwarder.Incomplete {
-					t.Errorf("%s, byte by byte %v, request %d: result %d with body %q", c.name, bytewise, round, result, response.Body())
+				call := newCall()
+				result := f.Send(call, 5*timer.Second)
+				if answered := result == forwarder.Answered && string(call.Response.Body()) == "whole answer"; answered != valid || !valid && result != forwarder.Incomplete {
+					t.Errorf("%s, byte by byte %v, request %d: result %d with body %q", c.name, bytewise, round, result, call.Response.Body())
 				}
 			}
 		}
--- a/internal/transport/receiver/admission.go
+++ b/internal/transport/receiver/admission.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -35,6 +36,9 @@
 	Configuration   Configuration
 	MeasuringBudget *MeasuringBudget
 	MaxAnswerBytes  int
+	// Memory and Sockets bound the connections to the backend server, with others.
+	Memory  *exchanger.Memory
+	Sockets *exchanger.Sockets
 	// IsSoleMember reports whether this daemon is the only member.
 	IsSoleMember func() bool
 	// BroadcastQuarantine sends quarantine entries to the other daemons of the service.
@@ -344,6 +348,7 @@
 		a.backend = forwarder.New(forwarder.Config{
 			Address: announcement.Address, MaxConnections: a.connectionLimit(announcement),
 			ConnectTimeout: backendConnectTimeout, MaxAnswerBytes: a.config.MaxAnswerBytes, IdleTimeout: backendIdleTimeout,
+			Memory: a.config.Memory, Sockets: a.config.Sockets,
 		})
 	}
 	a.announcement = announcement
--- a/internal/transport/receiver/exchange.go
+++ b/internal/transport/receiver/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/selector"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -43,7 +44,7 @@
 type exchange struct {
 	ingress   *Ingress
 	request   *request
-	ctx       *fasthttp.RequestCtx
+	x         *exchanger.Exchange
 	retrier   *retrier.Retrier
 	events    chan completion
 	attempts  []sentAttempt
@@ -54,10 +55,10 @@
 }
 
 // run sends the attempts of a request and returns its result.
-func (i *Ingress) run(ctx *fasthttp.RequestCtx, r *request) result {
+func (i *Ingress) run(x *exchanger.Exchange, r *request) result {
 	stall, hedge := r.fleet.delays()
-	x := &exchange{
-		ingress: i, request: r, ctx: ctx, events: make(chan completion, maxPending),
+	e := &exchange{
+		ingress: i, request: r, x: x, events: make(chan completion, maxPending),
 		retrier: retrier.New(retrier.Config{
 			Deadline: r.deadline, Idempotent: r.idempotent, Keyed: r.keyed,
 			MaxAttempts: maxAttempts, StallTimeout: stall, HedgeDelay: hedge,
@@ -68,50 +69,50 @@
 		}),
 		wakeTimer: time.NewTimer(time.Hour),
 	}
-	defer x.wakeTimer.Stop()
-	return x.loop()
+	defer e.wakeTimer.Stop()
+	return e.loop()
 }
 
-func (x *exchange) loop() result {
+func (e *exchange) loop() result {
 	queue := []retrier.Event{retrier.Begin{}}
 	for {
 		for len(queue) > 0 {
 			event := queue[0]
 			queue = queue[1:]
-			for _, action := range x.retrier.Step(x.now(), event) {
+			for _, action := range e.retrier.Step(e.now(), event) {
 				if finish, done := action.(retrier.Finish); done {
-					return x.finish(finish)
+					return e.finish(finish)
 				}
-				if next := x.perform(action); next != nil {
+				if next := e.perform(action); next != nil {
 					queue = append(queue, next)
 				}
 			}
 		}
 		select {
-		case e := <-x.events:
-			if e.response != nil {
-				x.storeAnswer(e)
+		case end := <-e.events:
+			if end.response != nil {
+				e.storeAnswer(end)
 			}
-			queue = append(queue, e.event)
-		case <-x.wakeTimer.C:
+			queue = append(queue, end.event)
+		case <-e.wakeTimer.C:
 			queue = append(queue, retrier.Timer{})
 		}
 	}
 }
 
-func (x *exchange) now() timer.Millis { return x.ingress.config.Clock.Now() }
+func (e *exchange) now() timer.Millis { return e.ingress.config.Clock.Now() }
 
-func (x *exchange) storeAnswer(e completion) {
-	if x.answers == nil {
-		x.answers = map[retrier.Attempt]*fasthttp.Response{}
+func (e *exchange) storeAnswer(end completion) {
+	if e.answers == nil {
+		e.answers = map[retrier.Attempt]*fasthttp.Response{}
 	}
-	x.answers[e.attempt] = e.response
+	e.answers[end.attempt] = end.response
 }
 
-func (x *exchange) finish(finish retrier.Finish) result {
+func (e *exchange) finish(finish retrier.Finish) result {
 	switch finish.Outcome {
 	case retrier.OutcomeComplete:
-		return result{response: x.answers[finish.Attempt]}
+		return result{response: e.answers[finish.Attempt]}
 	case retrier.OutcomeNotRun:
 		return result{refusal: encoder.Refusal{
 			Outcome: encoder.NotRun, Reason: finish.Reason, RetryAfterMs: finish.RetryAfter,
@@ -123,52 +124,54 @@
 
 // perform executes an action. It returns an event that follows immediately, if
 // any.
-func (x *exchange) perform(action retrier.Action) retrier.Event {
+func (e *exchange) perform(action retrier.Action) retrier.Event {
 	switch a := action.(type) {
 	case retrier.Send:
-		return x.send(a)
+		return e.send(a)
 	case retrier.Query:
-		go x.query(a.Attempt, x.attempts[a.Attempt-1])
+		go e.query(a.Attempt, e.attempts[a.Attempt-1])
 	case retrier.CancelAttempt:
 		// The daemon may have stopped responding on this and its other connections.
-		x.ingress.config.Peers.Forwarder(x.attempts[a.Attempt-1].member.Peer).CloseIdle()
+		e.ingress.config.Peers.Forwarder(e.attempts[a.Attempt-1].member.Peer).CloseIdle()
 	case retrier.Wake:
-		x.wakeTimer.Reset((a.At - x.now()).Duration())
+		e.wakeTimer.Reset((a.At - e.now()).Duration())
 	}
 	return nil
 }
 
-func (x *exchange) send(action retrier.Send) retrier.Event {
-	i, r := x.ingress, x.request
-	now := x.now()
-	member, wantLoad, found := r.fleet.pick(now, x.tried)
+func (e *exchange) send(action retrier.Send) retrier.Event {
+	i, r := e.ingress, e.request
+	now := e.now()
+	member, wantLoad, found := r.fleet.pick(now, e.tried)
 	id := identifier.AttemptID{Origin: i.config.Incarnation, Sequence: i.sequence.Add(1)}
-	x.attempts = append(x.attempts, sentAttempt{id, member})
+	e.attempts = append(e.attempts, sentAttempt{id, member})
 	if !found {
 		return retrier.NoInstance{Attempt: action.Attempt}
 	}
-	x.tried = append(x.tried, member.Instance)
+	e.tried = append(e.tried, member.Instance)
 	remaining := r.deadline - now
-	request := fasthttp.AcquireRequest()
-	x.ctx.Request.CopyTo(request)
-	request.Header.Del(fasthttp.HeaderConnection)
+	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
+		return retrier.NotRun{Attempt: action.Attempt, Reason: classifier.Overloaded}
+	}
+	request := &exchanger.Request{}
+	e.x.Request.CopyTo(request)
 	encoder.Attempt{
 		ID: id, Remaining: remaining, Version: r.version, Depth: r.depth, WantLoad: wantLoad,
 	}.Encode(&request.Header)
-	go x.attempt(action.Attempt, sentAttempt{id, member}, request, remaining)
+	go e.attempt(action.Attempt, sentAttempt{id, member}, request, remaining)
 	return nil
 }
 
 // attempt sends one attempt and reports its end. It owns the request and the
 // response until then, even if the exchange has ended in the meantime.
-func (x *exchange) attempt(number retrier.Attempt, s sentAttempt, request *fasthttp.Request, remaining timer.Millis) {
-	i, fleet := x.ingress, x.request.fleet
-	response := fasthttp.AcquireResponse()
+func (e *exchange) attempt(number retrier.Attempt, s sentAttempt, request *exchanger.Request, remaining timer.Millis) {
+	i, fleet := e.ingress, e.request.fleet
+	response := &fasthttp.Response{}
 	started := time.Now()
-	status := i.config.Peers.Forwarder(s.member.Peer).Send(request, response, remaining)
+	status := i.config.Peers.Forwarder(s.member.Peer).Send(
+		&exchanger.Call{Request: request, Response: response, Memory: e.x.Memory()}, remaining)
 	latency := time.Since(started)
-	fasthttp.ReleaseRequest(request)
-	event, outcome := x.classify(number, s, status, response)
+	event, outcome := e.classify(number, s, status, response)
 	now := i.config.Clock.Now()
 	fleet.recordAttemptEnd(now, s.member.Instance, latency, outcome)
 	if status == forwarder.ConnectionRefused {
@@ -183,10 +186,9 @@
 		}
 	}
 	if outcome != selector.Complete {
-		fasthttp.ReleaseResponse(response)
 		response = nil
 	}
-	x.events <- completion{attempt: number, event: event, response: response}
+	e.events <- completion{attempt: number, event: event, response: response}
 }
 
 // refusesAllRequests reports whether a refusal means that the instance currently
@@ -202,10 +204,10 @@
 // classify determines the result of an attempt. An answer counts only if it names
 // the attempt, so that a late answer to another attempt on a reused connection
 // is not mistaken for it.
-func (x *exchange) classify(number retrier.Attempt, s sentAttempt, status forwarder.Result, response *fasthttp.Response) (retrier.Event, selector.Result) {
+func (e *exchange) classify(number retrier.Attempt, s sentAttempt, status forwarder.Result, response *fasthttp.Response) (retrier.Event, selector.Result) {
 	switch status {
 	case forwarder.Answered:
-		return x.classifyAnswer(number, s, response)
+		return e.classifyAnswer(number, s, response)
 	case forwarder.NotSent, forwarder.ConnectionRefused:
 		return retrier.NotRun{Attempt: number, Reason: classifier.ConnectionBroken}, selector.NotRun
 	case forwarder.Incomplete:
@@ -215,11 +217,11 @@
 	return retrier.Unknown{Attempt: number}, selector.Unknown
 }
 
-func (x *exchange) classifyAnswer(number retrier.Attempt, s sentAttempt, response *fasthttp.Response) (retrier.Event, selector.Result) {
+func (e *exchange) classifyAnswer(number retrier.Attempt, s sentAttempt, response *fasthttp.Response) (retrier.Event, selector.Result) {
 	header := &response.Header
 	if string(header.Peek(encoder.HeaderAttempt)) != s.id.String() {
-		x.ingress.config.Logger.Error("received an answer to another attempt", "instance", s.member.Instance, "attempt", s.id.String())
-		x.ingress.config.Peers.Forwarder(s.member.Peer).CloseIdle()
+		e.ingress.config.Logger.Error("received an answer to another attempt", "instance", s.member.Instance, "attempt", s.id.String())
+		e.ingress.config.Peers.Forwarder(s.member.Peer).CloseIdle()
 		return retrier.Unknown{Attempt: number}, selector.Unknown
 	}
 	var refusal encoder.Refusal
@@ -234,24 +236,25 @@
 	return retrier.Unknown{Attempt: number}, selector.Unknown
 }
 
-func (x *exchange) query(number retrier.Attempt, s sentAttempt) {
-	state := x.ingress.config.Peers.Fence(s.member, s.id)
+func (e *exchange) query(number retrier.Attempt, s sentAttempt) {
+	state := e.ingress.config.Peers.Fence(s.member, s.id)
 	select {
-	case x.events <- completion{event: retrier.FenceResult{Attempt: number, State: state}}:
+	case e.events <- completion{event: retrier.FenceResult{Attempt: number, State: state}}:
 	default:
 		// The exchange has ended or has newer results.
 	}
 }
 
 // answer writes the result of a request to the caller.
-func (i *Ingress) answer(ctx *fasthttp.RequestCtx, r *request, res result) {
+func (i *Ingress) answer(x *exchanger.Exchange, r *request, res result) {
 	if res.response == nil {
-		i.refuse(ctx, r.service.Name, res.refusal)
+		i.refuse(x, r.service.Name, res.refusal)
 		return
 	}
-	res.response.CopyTo(&ctx.Response)
-	fasthttp.ReleaseResponse(res.response)
-	header := &ctx.Response.Header
+	res.response.Header.CopyTo(&x.Response.Header)
+	x.Response.SkipBody = res.response.SkipBody
+	x.Response.SetBodyRaw(res.response.Body())
+	header := &x.Response.Header
 	header.Del(encoder.HeaderAttempt)
 	header.Del(encoder.HeaderLoad)
 	header.ResetConnectionClose()
--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -176,7 +176,7 @@
 func startEmptyDaemon(incarnation identifier.Incarnation) string {
 	admission := receiver.NewAdmission(receiver.AdmissionConfig{Clock: timer.NewSystem()})
 	peerResponder := responder.New(responder.Config{Incarnation: incarnation, Admission: admission, Keys: refusingClaimer{}})
-	return startServer(GinkgoTB(), peerResponder.Handler(admission.Serve))
+	return startExchanger(GinkgoTB(), peerResponder.Handler(admission))
 }
 
 // dropTraffic drops all data received on the connections that are open now.
--- a/internal/transport/receiver/forward.go
+++ b/internal/transport/receiver/forward.go
@@ -11,43 +11,46 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
 
-// Serve handles one attempt sent by another daemon or by this one.
-func (a *Admission) Serve(ctx *fasthttp.RequestCtx) {
+// Handle handles one attempt sent by another daemon or by this one.
+func (a *Admission) Handle(x *exchanger.Exchange) {
 	var attempt encoder.Attempt
-	if err := attempt.Decode(&ctx.Request.Header); err != nil {
+	header := &x.Request.Header
+	if err := attempt.Decode(header); err != nil {
 		a.config.Logger.Warn("attempt with invalid headers refused", "error", err.Error())
-		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}.Write(ctx)
+		encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}.WriteResponse(&x.Response)
 		return
 	}
 	attempt = a.awaitVersion(attempt)
-	fingerprint := identifier.NewFingerprint(string(ctx.Method()), string(ctx.RequestURI()), ctx.Request.Body())
+	fingerprint := identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), x.Request.Body...)
 	d := a.admit(attempt, fingerprint)
 	if !d.start {
-		d.refusal.Write(ctx)
-		ctx.Response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
+		d.refusal.WriteResponse(&x.Response)
+		x.Response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 		return
 	}
-	a.forward(ctx, attempt, fingerprint, d)
+	a.forward(x, attempt, fingerprint, d)
 }
 
-func (a *Admission) forward(ctx *fasthttp.RequestCtx, attempt encoder.Attempt, fingerprint identifier.Fingerprint, d decision) {
+func (a *Admission) forward(x *exchanger.Exchange, attempt encoder.Attempt, fingerprint identifier.Fingerprint, d decision) {
 	a.mu.Lock()
 	backend := a.backend
 	a.mu.Unlock()
 	started := time.Now()
-	request, response := &ctx.Request, &ctx.Response
+	request, response := &x.Request, &x.Response
 	encoder.RemoveInternalHeaders(&request.Header)
-	request.Header.Del(fasthttp.HeaderConnection)
+	request.Header.ResetConnectionClose()
 	request.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 	request.Header.Set(encoder.HeaderTimeout, strconv.FormatInt(int64(d.remaining), 10))
-	result := backend.Send(request, response, d.remaining)
+	call := &exchanger.Call{Request: request, Response: response, Memory: x.Memory()}
+	result := backend.Send(call, d.remaining)
 	latency := time.Since(started)
-	if result == forwarder.Answered && !isAnswerTo(attempt.ID, response) {
+	if result == forwarder.Answered && !isAnswerTo(attempt.ID, call) {
 		a.config.Logger.Warn("answer of the backend server is not to the attempt", "attempt", attempt.ID.String(), "status", response.StatusCode())
 		backend.CloseIdle()
 		result = forwarder.Incomplete
@@ -61,9 +64,9 @@
 	}
 	a.finish(attempt, outcome, latency)
 	if refusal, refused := refusalOf(result, &response.Header); refused {
-		refusal.Write(ctx)
+		refusal.WriteResponse(response)
 	} else {
-		a.markComplete(ctx, attempt)
+		a.markComplete(response, attempt)
 	}
 	response.Header.Set(encoder.HeaderAttempt, attempt.ID.String())
 }
@@ -72,12 +75,13 @@
 // be told. An answer that names an attempt is to that one. On a connection that has carried
 // other attempts, a statement that nothing ran counts only if it names the attempt: it may be
 // one to an earlier attempt, written once more.
-func isAnswerTo(id identifier.AttemptID, response *fasthttp.Response) bool {
-	if echo := response.Header.Peek(encoder.HeaderAttempt); len(echo) > 0 {
+func isAnswerTo(id identifier.AttemptID, call *exchanger.Call) bool {
+	header := &call.Response.Header
+	if echo := header.Peek(encoder.HeaderAttempt); len(echo) > 0 {
 		return string(echo) == id.String()
 	}
-	_, shed := shedOf(&response.Header)
-	return !shed || !forwarder.Reused(response)
+	_, shed := shedOf(header)
+	return !shed || !call.Reused
 }
 
 // shedOf returns the statement of a backend server that it did not run an attempt, if any.
@@ -107,8 +111,8 @@
 
 // markComplete marks a backend server's answer as complete and adds the load if
 // the sender wants it.
-func (a *Admission) markComplete(ctx *fasthttp.RequestCtx, attempt encoder.Attempt) {
-	header := &ctx.Response.Header
+func (a *Admission) markComplete(response *fasthttp.Response, attempt encoder.Attempt) {
+	header := &response.Header
 	header.ResetConnectionClose()
 	header.Del(encoder.HeaderReason)
 	header.Set(encoder.HeaderOutcome, string(encoder.Complete))
--- a/internal/transport/receiver/harness_test.go
+++ b/internal/transport/receiver/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/receiver"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/responder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
@@ -83,14 +84,14 @@
 	for i, backend := range backends {
 		env.addInstance(t, i, backend)
 	}
-	peers := receiver.NewPeers(1 << 20)
+	peers := receiver.NewPeers(receiver.PeersConfig{MaxAnswerBytes: 1 << 20})
 	env.ingress = receiver.NewIngress(receiver.IngressConfig{
 		Self: "caller", Incarnation: 77, FailureDomain: "aarhus", Clock: env.clock,
 		View: env.configuration.View, Membership: env.membership, Peers: peers, Claimer: refusingClaimer{},
 		Probe: func(tracker.Member) {}, MaxDepth: 8, MaxInFlight: 1000,
 		Policy: receiver.PolicyPowerOfChoices, Logger: slog.New(slog.DiscardHandler),
 	})
-	env.address = startServer(t, env.ingress.Serve)
+	env.address = startExchanger(t, env.ingress)
 	env.background.Go(env.tick)
 	t.Cleanup(func() { close(env.stop); env.background.Wait(); peers.CloseIdle() })
 	return env
@@ -168,7 +169,7 @@
 	i := &instance{admission: admission, member: tracker.Member{
 		Instance: identifier.InstanceID(fmt.Sprint("materials-", n)), Incarnation: 1, Service: "materials",
 		FailureDomain: "aarhus", Region: "jutland", Class: "standard", Slots: 20, State: tracker.Ready,
-		Peer: identifier.Address(startServer(t, peerResponder.Handler(admission.Serve))),
+		Peer: identifier.Address(startExchanger(t, peerResponder.Handler(admission))),
 	}}
 	i.announce(backend, 1)
 	admission.Tick()
@@ -191,6 +192,24 @@
 	})
 }
 
+// startExchanger starts a server of the daemon.
+func startExchanger(t testing.TB, handler exchanger.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := exchanger.NewServer(exchanger.ServerConfig{
+		Handler: handler, Names: responder.Names, Reject: receiver.Reject, Clock: timer.NewSystem(), Logger: slog.New(slog.DiscardHandler),
+		Limits: func() exchanger.Limits {
+			return exchanger.Limits{HeaderBytes: 4 << 10, BodyBytes: 1 << 20, HeaderTimeout: timer.Minute, IdleTimeout: timer.Minute}
+		},
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
 func startServer(t testing.TB, handler fasthttp.RequestHandler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -198,7 +217,7 @@
 		t.Fatal(err)
 	}
 	server := &fasthttp.Server{
-		Handler: handler, CloseOnShutdown: true, ErrorHandler: receiver.HandleError, MaxRequestBodySize: 1 << 20,
+		Handler: handler, CloseOnShutdown: true, MaxRequestBodySize: 1 << 20,
 		ReadBufferSize: 4 << 10, Logger: log.New(io.Discard, "", 0),
 	}
 	go func() { _ = server.Serve(listener) }()
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -6,25 +6,25 @@
 //
 //	admission := receiver.NewAdmission(receiver.AdmissionConfig{...})
 //	ingress := receiver.NewIngress(receiver.IngressConfig{...})
-//	go (&fasthttp.Server{Handler: admission.Serve}).Serve(peerListener)
-//	go (&fasthttp.Server{Handler: ingress.Serve}).Serve(callerListener)
+//	go exchanger.NewServer(exchanger.ServerConfig{Handler: admission, ...}).Serve(peerListener)
+//	go exchanger.NewServer(exchanger.ServerConfig{Handler: ingress, ...}).Serve(callerListener)
 //	// every 50 ms:
 //	admission.Tick()
 //	ingress.Tick()
 package receiver
 
 import (
-	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/parser"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -44,6 +44,9 @@
 	maxAttempts     = 4
 )
 
+// Names are the fields of requests that Ingress and Admission read or set.
+var Names = separator.NewNames(encoder.ReadHeaders(), encoder.InternalHeaders())
+
 // IngressConfig configures an Ingress.
 type IngressConfig struct {
 	Self          identifier.InstanceID
@@ -93,30 +96,35 @@
 	}
 }
 
-// Serve handles one request of a caller.
-func (i *Ingress) Serve(ctx *fasthttp.RequestCtx) {
+// Handle handles one request of a caller.
+func (i *Ingress) Handle(x *exchanger.Exchange) {
 	started := i.config.Clock.Now()
 	defer i.inFlight.Add(-1)
 	if i.inFlight.Add(1) > int64(i.config.MaxInFlight) {
-		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.TooManyRequests, RetryAfterMs: drainRetryAfter})
+		i.refuse(x, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.TooManyRequests, RetryAfterMs: drainRetryAfter})
 		return
 	}
 	if i.draining.Load() {
-		i.refuse(ctx, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining, RetryAfterMs: drainRetryAfter})
-		ctx.SetConnectionClose()
+		i.refuse(x, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Draining, RetryAfterMs: drainRetryAfter})
+		x.Close = true
 		return
 	}
-	r, refusal := i.parse(ctx, started)
+	r, refusal := i.parse(x, started)
 	if refusal != nil {
-		i.refuse(ctx, "", *refusal)
+		i.refuse(x, "", *refusal)
+		return
+	}
+	if !r.idempotent && !x.AwaitTurn() {
+		// An earlier response has closed the connection, so that the caller sends it again.
+		i.refuse(x, "", encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.Deadline})
 		return
 	}
 	r.fleet.recordRequest(started, r.service)
 	if r.keyed {
-		i.serveKeyed(ctx, r)
+		i.serveKeyed(x, r)
 		return
 	}
-	i.answer(ctx, r, i.run(ctx, r))
+	i.answer(x, r, i.run(x, r))
 }
 
 // request is a parsed request of a caller.
@@ -131,8 +139,9 @@
 	key        identifier.IdempotencyKey
 }
 
-func (i *Ingress) parse(ctx *fasthttp.RequestCtx, now timer.Millis) (*request, *encoder.Refusal) {
-	header := &ctx.Request.Header
+func (i *Ingress) parse(x *exchanger.Exchange, now timer.Millis) (*request, *encoder.Refusal) {
+	header := &x.Request.Header
+	header.ResetConnectionClose()
 	encoder.RemoveInternalHeaders(header)
 	timeout, given, err := encoder.DecodeTimeout(header)
 	if err != nil {
@@ -149,8 +158,8 @@
 	if view.Version == 0 {
 		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NotConfigured, RetryAfterMs: timer.Second}
 	}
-	path := string(ctx.Path())
-	service, found := view.Schedule.Route(string(header.Peek(encoder.HeaderService)), string(ctx.Host()), path)
+	path, method := pathOf(header.RequestURI()), string(header.Method())
+	service, found := view.Schedule.Route(string(header.Peek(encoder.HeaderService)), strings.ToLower(string(header.Host())), path)
 	if !found {
 		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.NoService}
 	}
@@ -160,10 +169,10 @@
 	r := &request{
 		service: service, fleet: i.fleet(service, now), version: view.Version,
 		deadline: now + min(timeout, service.MaxTimeout), depth: depth + 1,
-		idempotent: service.Idempotent(string(ctx.Method()), path),
+		idempotent: service.Idempotent(method, path),
 		key:        identifier.IdempotencyKey(header.Peek(encoder.HeaderIdempotencyKey)),
 	}
-	if r.key == "" && service.KeyRequired(string(ctx.Method()), path) {
+	if r.key == "" && service.KeyRequired(method, path) {
 		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.KeyRequired}
 	}
 	r.keyed = r.key != "" && !r.idempotent && service.DeduplicationWindow > 0
@@ -275,19 +284,21 @@
 // InFlight returns the number of callers' requests in flight.
 func (i *Ingress) InFlight() int64 { return i.inFlight.Load() }
 
-// HandleError answers a request that could not be read. It has not run, since
-// nothing is forwarded before the whole request has been read.
-func HandleError(ctx *fasthttp.RequestCtx, err error) {
+// Reject answers a request that could not be read. It has not run, since nothing is
+// forwarded before the whole request has been read.
+func Reject(x *exchanger.Exchange, problem exchanger.Problem) {
 	refusal := encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
-	var bufferErr *fasthttp.ErrSmallBuffer
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &bufferErr) {
+	switch problem {
+	case exchanger.HeaderTooLarge, exchanger.BodyTooLarge:
 		refusal.Reason = classifier.TooLarge
+	case exchanger.OutOfMemory, exchanger.TooManyConnections:
+		refusal.Reason = classifier.Overloaded
+	case exchanger.Malformed:
 	}
-	refusal.Write(ctx)
-	ctx.SetConnectionClose()
+	refusal.WriteResponse(&x.Response)
 }
 
-func (i *Ingress) refuse(ctx *fasthttp.RequestCtx, service identifier.ServiceName, refusal encoder.Refusal) {
+func (i *Ingress) refuse(x *exchanger.Exchange, service identifier.ServiceName, refusal encoder.Refusal) {
 	i.metrics.count(service, refusal.Outcome)
-	refusal.Write(ctx)
+	refusal.WriteResponse(&x.Response)
 }
--- a/internal/transport/receiver/keyed.go
+++ b/internal/transport/receiver/keyed.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -27,34 +28,35 @@
 }
 
 // serveKeyed runs a request with an idempotency key at most once.
-func (i *Ingress) serveKeyed(ctx *fasthttp.RequestCtx, r *request) {
+func (i *Ingress) serveKeyed(x *exchanger.Exchange, r *request) {
+	header := &x.Request.Header
 	claim := deduplicator.Request{
 		Key:         deduplicator.Key{Service: r.service.Name, Key: r.key},
-		Fingerprint: identifier.NewFingerprint(string(ctx.Method()), string(ctx.RequestURI()), ctx.Request.Body()),
+		Fingerprint: identifier.NewFingerprint(string(header.Method()), string(header.RequestURI()), x.Request.Body...),
 		Token:       i.newToken(),
 		Window:      r.service.DeduplicationWindow,
 	}
 	verdict, storedAnswer, ok := i.config.Claimer.Claim(r.deadline, claim)
 	if !ok {
-		i.refuse(ctx, r.service.Name, encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.OwnerUnavailable, RetryAfterMs: noOwnerRetryAfter})
+		i.refuse(x, r.service.Name, encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.OwnerUnavailable, RetryAfterMs: noOwnerRetryAfter})
 		return
 	}
 	if verdict == deduplicator.Granted {
-		i.runClaimed(ctx, r, claim)
+		i.runClaimed(x, r, claim)
 		return
 	}
-	if verdict == deduplicator.Done && i.replay(ctx, r, storedAnswer) {
+	if verdict == deduplicator.Done && i.replay(x, r, storedAnswer) {
 		return
 	}
-	i.refuse(ctx, r.service.Name, refusalOfVerdict(verdict))
+	i.refuse(x, r.service.Name, refusalOfVerdict(verdict))
 }
 
 func (i *Ingress) newToken() deduplicator.Token {
 	return deduplicator.Token(strconv.FormatUint(uint64(i.config.Incarnation), 36) + "-" + strconv.FormatUint(i.sequence.Add(1), 36))
 }
 
-func (i *Ingress) runClaimed(ctx *fasthttp.RequestCtx, r *request, claim deduplicator.Request) {
-	res := i.run(ctx, r)
+func (i *Ingress) runClaimed(x *exchanger.Exchange, r *request, claim deduplicator.Request) {
+	res := i.run(x, r)
 	switch {
 	case res.response != nil:
 		answer := encodeAnswer(res.response)
@@ -65,7 +67,7 @@
 	default:
 		go i.config.Claimer.Settle(claim, deduplicator.OutcomeUnknown, nil)
 	}
-	i.answer(ctx, r, res)
+	i.answer(x, r, res)
 }
 
 func refusalOfVerdict(verdict deduplicator.Verdict) encoder.Refusal {
@@ -98,16 +100,15 @@
 }
 
 // replay answers a repeated request with the stored answer of its complete run.
-func (i *Ingress) replay(ctx *fasthttp.RequestCtx, r *request, storedAnswer []byte) bool {
+func (i *Ingress) replay(x *exchanger.Exchange, r *request, storedAnswer []byte) bool {
 	if len(storedAnswer) == 0 {
 		return false
 	}
-	response := fasthttp.AcquireResponse()
+	response := &fasthttp.Response{}
 	if err := response.Read(bufio.NewReader(bytes.NewReader(storedAnswer))); err != nil {
-		fasthttp.ReleaseResponse(response)
 		return false
 	}
-	i.answer(ctx, r, result{response: response})
-	ctx.Response.Header.Set(encoder.HeaderReplayed, "true")
+	i.answer(x, r, result{response: response})
+	x.Response.Header.Set(encoder.HeaderReplayed, "true")
 	return true
 }
--- a/internal/transport/receiver/peers.go
+++ b/internal/transport/receiver/peers.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1/peerv1connect"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/retrier"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/forwarder"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -27,8 +28,8 @@
 
 // Peers keeps the connections to other daemons. It is safe for concurrent use.
 type Peers struct {
-	maxAnswerBytes int
-	control        *http.Client
+	config  PeersConfig
+	control *http.Client
 	// unpooled opens a connection for each call, for queries about an attempt
 	// whose own connection may no longer respond.
 	unpooled *http.Client
@@ -37,10 +38,18 @@
 	forwarders map[identifier.Address]*forwarder.Forwarder
 }
 
+// PeersConfig holds the bounds of the connections to other daemons.
+type PeersConfig struct {
+	MaxAnswerBytes int
+	// Memory and Sockets bound the connections, with others.
+	Memory  *exchanger.Memory
+	Sockets *exchanger.Sockets
+}
+
 // NewPeers returns an empty pool.
-func NewPeers(maxAnswerBytes int) *Peers {
+func NewPeers(config PeersConfig) *Peers {
 	return &Peers{
-		maxAnswerBytes: maxAnswerBytes,
+		config: config,
 		control: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout.Duration(), DisableCompression: true,
 		}},
@@ -62,7 +71,8 @@
 	if f, found = p.forwarders[address]; !found {
 		f = forwarder.New(forwarder.Config{
 			Address: address, MaxConnections: peerMaxConnections,
-			ConnectTimeout: peerConnectTimeout, MaxAnswerBytes: p.maxAnswerBytes,
+			ConnectTimeout: peerConnectTimeout, MaxAnswerBytes: p.config.MaxAnswerBytes,
+			Memory: p.config.Memory, Sockets: p.config.Sockets,
 		})
 		p.forwarders[address] = f
 	}
--- a/internal/transport/responder/responder.go
+++ b/internal/transport/responder/responder.go
@@ -6,15 +6,13 @@
 // # Usage
 //
 //	r := responder.New(responder.Config{Configuration: f, Membership: g, ...})
-//	server := &fasthttp.Server{Handler: r.Handler(admission.Serve)}
+//	server := exchanger.NewServer(exchanger.ServerConfig{Handler: r.Handler(admission), Names: responder.Names, ...})
 package responder
 
 import (
 	"context"
 
 	"connectrpc.com/connect"
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"github.com/zeebo/errs"
 
 	"github.com/magnoliaknot/magnoliaknot/internal/coordination/announcer"
@@ -22,9 +20,12 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/peerv1/peerv1connect"
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/fencer"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/adapter"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/appender"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
 )
@@ -83,17 +84,20 @@
 // New returns a responder.
 func New(config Config) *Responder { return &Responder{KeyService: config.Keys, config: config} }
 
+// Names are the fields of attempts and messages that their handlers read or set.
+var Names = separator.NewNames(append(encoder.ReadHeaders(), adapter.Fields()...), encoder.InternalHeaders())
+
 // Handler serves attempts and messages on one address.
-func (r *Responder) Handler(attempts fasthttp.RequestHandler) fasthttp.RequestHandler {
+func (r *Responder) Handler(attempts exchanger.Handler) exchanger.Handler {
 	_, handler := peerv1connect.NewPeerHandler(&service{r}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressMinBytes))
-	messages := fasthttpadaptor.NewFastHTTPHandler(handler)
-	return func(ctx *fasthttp.RequestCtx) {
-		if len(ctx.Request.Header.Peek(encoder.HeaderAttempt)) > 0 {
-			attempts(ctx)
+	messages := adapter.New(handler, adapter.Config{Cost: adapter.MessageCost})
+	return exchanger.HandlerFunc(func(x *exchanger.Exchange) {
+		if len(x.Request.Header.Peek(encoder.HeaderAttempt)) > 0 {
+			attempts.Handle(x)
 			return
 		}
-		messages(ctx)
-	}
+		messages.Handle(x)
+	})
 }
 
 // service adapts a Responder to the generated interface.
