exchanger: reserve a request's cost when its head has arrived, and buffers when they are used

Seen: connections that send one byte each reserved 24 kB for a request that may never come, so that a bound of connections of them left little of the budget to others.

Change: the cost of an exchange is reserved together with that of its head; a connection's buffer is allocated on its first read.

--- a/internal/transport/exchanger/input.go
+++ b/internal/transport/exchanger/input.go
@@ -24,9 +24,9 @@
 }
 
 // newInput returns an input whose buffer grows to limit bytes. The memory of its first
-// buffer is part of the cost of the connection.
+// buffer, which is allocated when it is used, is part of the cost of the connection.
 func newInput(conn io.Reader, limit int, memory *Reservation) *input {
-	return &input{conn: conn, buffer: make([]byte, min(inputBuffer, limit)), limit: limit, memory: memory}
+	return &input{conn: conn, limit: limit, memory: memory}
 }
 
 // Buffered returns the number of bytes that have arrived and were not read.
@@ -53,6 +53,9 @@
 	if i.start == i.end {
 		i.start, i.end = 0, 0
 	}
+	if i.buffer == nil {
+		i.buffer = make([]byte, min(inputBuffer, i.limit))
+	}
 	if i.end == len(i.buffer) {
 		if err := i.makeRoom(); err != nil {
 			return err
--- a/internal/transport/exchanger/requestreading.go
+++ b/internal/transport/exchanger/requestreading.go
@@ -18,9 +18,6 @@
 // read reads a whole request. If it fails because the connection has ended, the
 // problem is nil.
 func (c *serverConn) read(x *Exchange) (*Problem, bool) {
-	if !x.memory.Grow(exchangeCost) {
-		return problemPointer(OutOfMemory), false
-	}
 	c.setReadTimeout(c.limits.HeaderTimeout)
 	if err := c.readHead(x); err != nil {
 		return readProblem(err), false
@@ -64,7 +61,7 @@
 		return err
 	}
 	cost := int64(size) * separator.CostPerByte
-	if !x.memory.Grow(cost) {
+	if !x.memory.Grow(exchangeCost + cost) {
 		return errNoMemory
 	}
 	header := &x.Request.Header
