--- a/internal/bench/attacker/process.go
+++ b/internal/bench/attacker/process.go
@@ -75,8 +75,11 @@
 }
 
 // peakMemory returns the largest resident memory of the process so far, in bytes.
-func (p *Process) peakMemory() (int64, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+func (p *Process) peakMemory() (int64, error) { return PeakMemory(p.command.Process.Pid) }
+
+// PeakMemory returns the largest resident memory of a process so far, in bytes.
+func PeakMemory(pid int) (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
