--- a/cmd/magnoliabench/main.go
+++ b/cmd/magnoliabench/main.go
@@ -6,6 +6,7 @@
 //	magnoliabench backend --listen 127.0.0.1:8000 --announce http://127.0.0.1:9000/announce
 //	magnoliabench load --target 127.0.0.1:9100 --rate 500 --duration 10s
 //	magnoliabench compare random=first.json,second.json
+//	magnoliabench attack --target 127.0.0.1:9100 --connections 100
 package main
 
 import (
@@ -28,7 +29,7 @@
 		SilenceErrors: true,
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	root.AddCommand(newLogCommand(log), newBackendCommand(log), newLoadCommand(log), newCompareCommand())
+	root.AddCommand(newLogCommand(log), newBackendCommand(log), newLoadCommand(log), newCompareCommand(), newAttackCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		log.Error("command failed", "error", err.Error())
 		os.Exit(1)
--- a/internal/bench/attacker/shape.go
+++ b/internal/bench/attacker/shape.go
@@ -37,7 +37,7 @@
 
 // query returns a request whose target is filled.
 func (t Target) query(start, filler string) string {
-	left := t.HeadBytes - len(t.start("GET", start)) - len(headEnd)
+	left := max(0, t.HeadBytes-len(t.start("GET", start))-len(headEnd))
 	return t.start("GET", start+strings.Repeat(filler, left/len(filler))) + headEnd
 }
 
--- a/internal/transport/adapter/adapter_test.go
+++ b/internal/transport/adapter/adapter_test.go
@@ -71,7 +71,9 @@
 		}
 	}
 	http.DefaultClient.CloseIdleConnections()
-	for end := time.Now().Add(5 * time.Second); memory.Used() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	end := time.Now().Add(5 * time.Second)
+	for memory.Used() != 0 && time.Now().Before(end) {
+		time.Sleep(time.Millisecond)
 	}
 	if used := memory.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after the responses", used)
