Reserve the head of an attempt before its instance is picked

Seen: nothing by callers yet; found when reading the change. A picked instance counts the attempt as in flight; if there was no memory for the attempt, nothing counted its end, so that the instance looked busier for good.

Change: the memory is reserved first, on both paths.

Measured: go test ./internal/transport/dispatcher ./internal/transport/receiver pass. No test shows the count; it would need a daemon at the bound of its memory whose load is read.

--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -182,6 +182,12 @@
 // send starts an attempt and reports false if no instance is left.
 func (e *exchange) send(number retrier.Attempt) bool {
 	now := e.now()
+	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
+		// Before an instance is picked, since a picked one counts the attempt.
+		e.attempts = append(e.attempts, &attempt{number: number})
+		e.events <- attemptResult{event: retrier.NotRun{Attempt: number, Reason: classifier.Overloaded, RetryAfter: noRoomRetryAfter}}
+		return true
+	}
 	picked, found := e.request.fleet.pick(now, e.tried)
 	member := picked.member
 	a := &attempt{number: number, member: member, version: picked.version}
@@ -203,10 +209,6 @@
 			Account:         accountHash(e.request.account), Nested: e.request.nested,
 		},
 	}
-	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
-		e.events <- attemptResult{event: retrier.NotRun{Attempt: number, Reason: classifier.Overloaded, RetryAfter: noRoomRetryAfter}}
-		return true
-	}
 	request := &exchanger.Request{}
 	e.x.Request.CopyTo(request)
 	a.response = &fasthttp.Response{}
--- a/internal/transport/receiver/exchange.go
+++ b/internal/transport/receiver/exchange.go
@@ -142,6 +142,11 @@
 func (e *exchange) send(action retrier.Send) retrier.Event {
 	i, r := e.ingress, e.request
 	now := e.now()
+	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
+		// Before an instance is picked, since a picked one counts the attempt.
+		e.attempts = append(e.attempts, sentAttempt{})
+		return retrier.NotRun{Attempt: action.Attempt, Reason: classifier.Overloaded}
+	}
 	member, wantLoad, found := r.fleet.pick(now, e.tried)
 	id := identifier.AttemptID{Origin: i.config.Incarnation, Sequence: i.sequence.Add(1)}
 	e.attempts = append(e.attempts, sentAttempt{id, member})
@@ -150,9 +155,6 @@
 	}
 	e.tried = append(e.tried, member.Instance)
 	remaining := r.deadline - now
-	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
-		return retrier.NotRun{Attempt: action.Attempt, Reason: classifier.Overloaded}
-	}
 	request := &exchanger.Request{}
 	e.x.Request.CopyTo(request)
 	encoder.Attempt{
