Keep the memory of a request reserved while one of its attempts uses it

Callers saw nothing yet; a process could hold more than its budget. A request can end before its attempts: another daemon reports an attempt as finished and its answer is lost, or a hedge was faster. The memory of the request was then given back, while the attempt held the body and a copy of the head until its deadline. Clients that send large bodies to an instance that has stopped answering could hold many bodies that nobody counted.

Evidence: the new spec of receiver sends a body of 500,000 bytes to a daemon that reports the attempt as finished and does not answer it. After the response of the caller (outcome unknown), 12,288 bytes were reserved while the attempt still held the body.

Reservation has Hold and Release. An attempt holds the reservation of its request, on both paths, and the bytes are freed when the request has ended and nobody holds them. As before, nothing can be added to a closed reservation.

--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -212,6 +212,7 @@
 	request := &exchanger.Request{}
 	e.x.Request.CopyTo(request)
 	a.response = &fasthttp.Response{}
+	e.x.Memory().Hold()
 	if member.Node == i.config.Self {
 		a.run = NewRun(details, request, a.response)
 		a.run.Memory = e.x.Memory()
@@ -269,6 +270,7 @@
 
 // local runs an attempt on the own instance.
 func (e *exchange) local(a *attempt) {
+	defer e.x.Memory().Release()
 	a.startedAt = time.Now()
 	refusal, answered := e.ingress.config.Admission.Execute(a.run)
 	switch {
@@ -283,6 +285,7 @@
 
 // remote sends an attempt to another daemon.
 func (e *exchange) remote(a *attempt) {
+	defer e.x.Memory().Release()
 	started := time.Now()
 	result := e.ingress.config.Peers.Pool(a.member.Peer).Do(a.call)
 	latency := time.Since(started)
--- a/internal/transport/exchanger/memory.go
+++ b/internal/transport/exchanger/memory.go
@@ -43,6 +43,8 @@
 	mu     sync.Mutex
 	held   int64
 	closed bool
+	// holds counts the calls of Hold without one of Release.
+	holds int
 }
 
 // Grow reserves more bytes. It returns false if they are not available or if the
@@ -78,16 +80,47 @@
 	}
 }
 
-// Close frees the reserved bytes. What is still read for the exchange, such as the response
-// to an attempt that nobody waits for, gets no more memory.
+// Hold keeps the bytes reserved until Release, also after Close: an attempt that nobody waits
+// for any more still holds a copy of the head and the body of its request.
+func (r *Reservation) Hold() {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds++
+}
+
+// Release ends a Hold.
+func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds--
+	r.free()
+}
+
+// Close frees the reserved bytes as soon as nobody holds them. What is still read for the
+// exchange, such as the response to an attempt that nobody waits for, gets no more memory.
 func (r *Reservation) Close() {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
+	r.free()
+}
+
+// free frees the bytes of a closed reservation that nobody holds. Its lock must be held.
+func (r *Reservation) free() {
+	if !r.closed || r.holds > 0 {
+		return
+	}
 	if r.memory != nil {
 		r.memory.used.Add(-r.held)
 	}
-	r.held, r.closed = 0, true
+	r.held = 0
 }
--- a/internal/transport/receiver/exchange.go
+++ b/internal/transport/receiver/exchange.go
@@ -160,6 +160,7 @@
 	encoder.Attempt{
 		ID: id, Remaining: remaining, Version: r.version, Depth: r.depth, WantLoad: wantLoad,
 	}.Encode(&request.Header)
+	e.x.Memory().Hold()
 	go e.attempt(action.Attempt, sentAttempt{id, member}, request, remaining)
 	return nil
 }
@@ -167,6 +168,7 @@
 // attempt sends one attempt and reports its end. It owns the request and the
 // response until then, even if the exchange has ended in the meantime.
 func (e *exchange) attempt(number retrier.Attempt, s sentAttempt, request *exchanger.Request, remaining timer.Millis) {
+	defer e.x.Memory().Release()
 	i, fleet := e.ingress, e.request.fleet
 	response := &fasthttp.Response{}
 	started := time.Now()
