separator: look up a field's name once in each pass

No change of behaviour. The kind of a field was looked up in the pass that searches connection options, in the pass that measures and in the one that copies, and its number once more. Names.find returns both; fields of connection options are found by comparing their one name. The check for a Content-Length beside chunks compares names line by line and no longer copies and lowers the known part of the head.

--- a/internal/protocol/separator/names.go
+++ b/internal/protocol/separator/names.go
@@ -51,7 +51,7 @@
 	}{
 		{kindMessage, messageNames},
 		{kindHop, hopNames},
-		{kindConnection, []string{"Connection"}},
+		{kindConnection, []string{connectionName}},
 		{kindOwn, append([]string{"Expect"}, own...)},
 		{kindRead, read},
 	} {
@@ -78,27 +78,21 @@
 	n.longest = max(n.longest, len(name))
 }
 
-// indexOf returns the number of a name, or -1.
-func (n *Names) indexOf(name []byte) int {
+// find returns the number and the kind of a name. Other names have no number.
+func (n *Names) find(name []byte) (int, kind) {
 	if len(name) > n.longest {
-		return -1
+		return 0, kindOther
 	}
 	var buffer [maxNameBytes]byte
 	lower := buffer[:len(name)]
 	for i, b := range name {
 		lower[i] = toLower(b)
 	}
-	if number, found := n.numbers[string(lower)]; found {
-		return number
+	number, found := n.numbers[string(lower)]
+	if !found {
+		return 0, kindOther
 	}
-	return -1
-}
-
-func (n *Names) kindOf(name []byte) kind {
-	if number := n.indexOf(name); number >= 0 {
-		return n.kinds[number]
-	}
-	return kindOther
+	return number, n.kinds[number]
 }
 
 // repeats counts the fields of each name.
--- a/internal/protocol/separator/options.go
+++ b/internal/protocol/separator/options.go
@@ -6,8 +6,15 @@
 	"slices"
 )
 
+const connectionName = "Connection"
+
 var closeOption = []byte("close")
 
+// hasOptions reports whether the values of a field are connection options.
+func (f field) hasOptions() bool {
+	return len(f.name) == len(connectionName) && bytes.EqualFold(f.name, []byte(connectionName))
+}
+
 // options are the connection options of a head, which name fields that concern only the
 // connection (RFC 9110, section 7.6.1).
 type options struct {
--- a/internal/protocol/separator/separator.go
+++ b/internal/protocol/separator/separator.go
@@ -110,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		if s.names.kindOf(f.name) == kindConnection {
+		if f.hasOptions() {
 			tokens += 1 + bytes.Count(f.raw, []byte{','})
 		}
 		left = after
@@ -137,7 +137,7 @@
 	for len(rest) > 0 {
 		var f field
 		f, rest, _ = nextField(rest)
-		if s.names.kindOf(f.name) == kindConnection {
+		if f.hasOptions() {
 			s.options.add(f.value())
 		}
 	}
@@ -147,12 +147,12 @@
 // placeOf returns where a field belongs. It counts the repeats of a name, so it is called
 // once for each field in a pass.
 func (s *separation) placeOf(f field) place {
-	kind := s.names.kindOf(f.name)
+	number, kind := s.names.find(f.name)
 	switch kind {
 	case kindMessage:
 		return placeKnown
 	case kindRead, kindOwn:
-		if s.repeats.add(s.names.indexOf(f.name)) <= maxRepeats {
+		if s.repeats.add(number) <= maxRepeats {
 			return placeKnown
 		}
 		if kind == kindOwn {
--- a/internal/transport/exchanger/framing.go
+++ b/internal/transport/exchanger/framing.go
@@ -29,11 +29,16 @@
 	return err
 }
 
-var contentLengthName = []byte("\ncontent-length:")
+var contentLengthName = []byte(fasthttp.HeaderContentLength)
 
 // hasRawContentLength reports whether a raw header block has a Content-Length field.
 func hasRawContentLength(raw []byte) bool {
-	return bytes.Contains(append([]byte{'\n'}, bytes.ToLower(raw)...), contentLengthName)
+	for line := range bytes.Lines(raw) {
+		if name, _, found := bytes.Cut(line, []byte{':'}); found && bytes.EqualFold(name, contentLengthName) {
+			return true
+		}
+	}
+	return false
 }
 
 func isConnectionEnd(err error) bool {
