Forget a request when its response was written

Cause: a connection took the first request out of its queue by slicing, pending[1:]. The array kept pointing to it, so that up to 16 requests stayed in memory after their bytes were given back to the budget, as long as the connection was open and its queue not longer. With 300 connections and heads of 15 kB that is more than the whole budget.

The new spec sends 12 requests on a connection that stays open and counts those that the garbage collector leaves after the responses: 12 of 12.

The place is cleared now, as is that of a connection taken out of a pool.

--- a/internal/transport/exchanger/limit_test.go
+++ b/internal/transport/exchanger/limit_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+	"weak"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -29,6 +31,29 @@
 	memory  *exchanger.Memory
 	handled atomic.Int64
 	release chan struct{}
+
+	mu        sync.Mutex
+	exchanges []weak.Pointer[exchanger.Exchange]
+}
+
+func (b *boundedServer) record(x *exchanger.Exchange) {
+	b.mu.Lock()
+	b.exchanges = append(b.exchanges, weak.Make(x))
+	b.mu.Unlock()
+	b.handled.Add(1)
+}
+
+// kept returns the number of requests that are still in memory.
+func (b *boundedServer) kept() (count int) {
+	runtime.GC()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range b.exchanges {
+		if x.Value() != nil {
+			count++
+		}
+	}
+	return count
 }
 
 // startBounded starts a server with a number of connections and bytes of memory.
@@ -36,7 +61,7 @@
 	b := &boundedServer{memory: exchanger.NewMemory(memory), release: make(chan struct{})}
 	server := exchanger.NewServer(exchanger.ServerConfig{
 		Handler: exchanger.HandlerFunc(func(x *exchanger.Exchange) {
-			b.handled.Add(1)
+			b.record(x)
 			<-b.release
 			x.Response.SetBodyRaw(x.Request.Fields)
 		}),
@@ -215,6 +240,20 @@
 		Expect(statuses).To(Equal(map[int]int{200: handled, 503: requests - handled}))
 	})
 
+	It("guards against requests that stay in memory after it was given back, as long as their connection is open", func() {
+		const requests = 12
+		b := startBounded(0, 1<<20)
+		c := dial(b.address)
+		c.send(strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", requests))
+		Eventually(b.handled.Load).WithTimeout(testTimeout).Should(BeEquivalentTo(requests))
+		Expect(b.kept()).To(Equal(requests))
+		close(b.release)
+		for range requests {
+			Expect(c.answer().StatusCode()).To(Equal(200))
+		}
+		Eventually(b.kept).WithTimeout(testTimeout).Should(BeZero())
+	})
+
 	for _, body := range []struct{ name, framing, text string }{
 		{"a length", "Content-Length: 600000", strings.Repeat("a", 600_000)},
 		{"chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 600_000, strings.Repeat("a", 600_000))},
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -160,12 +161,13 @@
 			p.mu.Unlock()
 			return nil, epoch
 		}
-		conn := p.idle[len(p.idle)-1]
+		last := len(p.idle) - 1
+		conn := p.idle[last]
 		if within < p.config.IdleTimeout && time.Since(conn.usedAt) > within.Duration() {
 			p.mu.Unlock()
 			return nil, epoch // Older ones are left for idempotent requests.
 		}
-		p.idle = p.idle[:len(p.idle)-1]
+		p.idle = slices.Delete(p.idle, last, last+1)
 		p.mu.Unlock()
 		if !conn.stale(p.config) {
 			return conn, epoch
--- a/internal/transport/exchanger/serverconn.go
+++ b/internal/transport/exchanger/serverconn.go
@@ -221,7 +221,7 @@
 		err := c.write(head, last)
 		head.memory.Close()
 		c.mu.Lock()
-		c.pending = c.pending[1:]
+		c.pending = slices.Delete(c.pending, 0, 1) // Clears the place, which would keep the exchange in memory.
 		c.closed = c.closed || err != nil
 		head.settle(err)
 		if len(c.pending) > 0 && !c.closed {
