One type divides the memory of a VM, for both paths

No change of behaviour. The parts of a VM's memory (45 and 72 %), those of the budget (85 and 95 %), the size of an attempt's head and the Retry-After of what finds no room stood twice each: in the settings and in the servers of each path. exchanger.VMMemory and the methods Callers and Peers of exchanger.Memory have the parts, encoder.MaxHeadFactor and dispatcher.NoRoomRetryAfter the others.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -22,22 +22,10 @@
 	// exitReserve is the part of the grace period that is reserved for the exit.
 	exitReserve      = 500 * timer.Millis(1)
 	stopPollInterval = 20 * timer.Millis(1)
-	// peerHeaders is how much larger the head of an attempt may be than that of a request:
-	// daemons add fields and end each line in a carriage return.
-	peerHeaders     = 2
-	peerBodyBytes   = 1 << 28
-	peerIdleTimeout = 30 * timer.Second
+	peerBodyBytes    = 1 << 28
+	peerIdleTimeout  = 30 * timer.Second
 	// metricsHeaderBytes is the largest head of a request for the metrics.
 	metricsHeaderBytes = 16 << 10
-	// noRoomRetryAfter is about the time that most requests hold their memory.
-	noRoomRetryAfter = 200 * timer.Millis(1)
-)
-
-// Parts of the memory, in percent. Callers leave some to the attempts of other daemons, and
-// both leave some to the backend server's announcements and to health checks.
-const (
-	callersPercent = 85
-	peersPercent   = 95
 )
 
 // Limits of callers' requests that apply until a configuration sets them.
@@ -55,11 +43,11 @@
 	metrics.GetOrCreateGauge("magnoliaknot_evidence_age_seconds", d.schedule.evidenceSeconds)
 	d.callerServer = exchanger.NewServer(exchanger.ServerConfig{
 		Handler: d.ingress, Limits: d.callerLimits, Reject: d.rejectCaller, Names: names, Clock: d.clock, Logger: d.config.Logger,
-		Memory: memory.Part(callersPercent), MaxConnections: d.config.Connections.Callers,
+		Memory: memory.Callers(), MaxConnections: d.config.Connections.Callers,
 	})
 	d.peerServer = exchanger.NewServer(exchanger.ServerConfig{
 		Handler: exchanger.HandlerFunc(d.servePeer), Limits: d.peerLimits, Reject: rejectPeer, Names: names, Clock: d.clock, Logger: d.config.Logger,
-		Memory: memory.Part(peersPercent), MaxConnections: d.config.Connections.Peers,
+		Memory: memory.Peers(), MaxConnections: d.config.Connections.Peers,
 	})
 	metricsServer := exchanger.NewServer(exchanger.ServerConfig{
 		Handler: exchanger.HandlerFunc(serveMetrics), Limits: metricsLimits, Reject: rejectPeer, Clock: d.clock, Logger: d.config.Logger,
@@ -151,7 +139,7 @@
 
 func (d *Daemon) peerLimits() exchanger.Limits {
 	return exchanger.Limits{
-		HeaderBytes: peerHeaders * d.callerLimits().HeaderBytes, BodyBytes: peerBodyBytes, HeaderTimeout: peerIdleTimeout, IdleTimeout: peerIdleTimeout,
+		HeaderBytes: encoder.MaxHeadFactor * d.callerLimits().HeaderBytes, BodyBytes: peerBodyBytes, HeaderTimeout: peerIdleTimeout, IdleTimeout: peerIdleTimeout,
 	}
 }
 
@@ -182,7 +170,7 @@
 	case exchanger.HeaderTooLarge:
 		refusal.Reason = classifier.HeaderTooLarge
 	case exchanger.OutOfMemory, exchanger.TooManyConnections:
-		refusal.Reason, refusal.RetryAfterMs = classifier.Overloaded, noRoomRetryAfter
+		refusal.Reason, refusal.RetryAfterMs = classifier.Overloaded, dispatcher.NoRoomRetryAfter
 	case exchanger.Malformed:
 	}
 	return refusal
--- a/internal/commander/daemon.go
+++ b/internal/commander/daemon.go
@@ -30,7 +30,7 @@
 			if err != nil {
 				return err
 			}
-			limitMemory(settings.Limits.RuntimeMemory())
+			limitMemory(settings.Limits.MemoryMB.Runtime())
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return runner.Run(ctx, settings, logger)
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -37,7 +37,7 @@
 			if err != nil {
 				return err
 			}
-			limitMemory(settings.RuntimeMemory())
+			limitMemory(settings.MemoryMB.Runtime())
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return platform.Run(ctx, path, logger)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliaknot/magnoliaknot/internal/authenticator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/reducer"
+	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 	"github.com/magnoliaknot/magnoliaknot/pkg/identifier"
 	"github.com/magnoliaknot/magnoliaknot/pkg/reporter"
 	"github.com/magnoliaknot/magnoliaknot/pkg/timer"
@@ -68,23 +69,9 @@
 	RequestsInFlight int64 `json:"requests_in_flight"`
 	CallDepth        int64 `json:"call_depth"`
 	// MemoryMB is the memory of the VM for this process.
-	MemoryMB int64 `json:"memory_mb"`
+	MemoryMB exchanger.VMMemory `json:"memory_mb"`
 }
 
-// Parts of the VM's memory, in percent. The rest is for what the Go runtime does not count,
-// such as the program itself, and for garbage.
-const (
-	requestPercent = 45
-	runtimePercent = 72
-	wholePercent   = 100
-)
-
-// RequestMemory returns the bytes that connections, requests and responses may hold.
-func (l Limits) RequestMemory() int64 { return l.MemoryMB << 20 / wholePercent * requestPercent }
-
-// RuntimeMemory returns the bytes that the Go runtime should not exceed.
-func (l Limits) RuntimeMemory() int64 { return l.MemoryMB << 20 / wholePercent * runtimePercent }
-
 // Operator is a person or program that may use the administration API.
 type Operator struct {
 	Name        identifier.OperatorName `json:"name"`
@@ -195,7 +182,7 @@
 	checkRange("limits.connections", l.Connections, 1, maxConcurrency, findings)
 	checkRange("limits.requests_in_flight", l.RequestsInFlight, 1, maxConcurrency, findings)
 	checkRange("limits.call_depth", l.CallDepth, 1, 64, findings)
-	checkRange("limits.memory_mb", l.MemoryMB, minMemoryMB, maxMemoryMB, findings)
+	checkRange("limits.memory_mb", int64(l.MemoryMB), minMemoryMB, maxMemoryMB, findings)
 }
 
 func (s *Settings) checkOperators(findings *reporter.Findings) {
--- a/internal/protocol/encoder/attempt.go
+++ b/internal/protocol/encoder/attempt.go
@@ -14,6 +14,10 @@
 // Error is the class of decoding errors.
 var Error = errs.Class("header")
 
+// MaxHeadFactor is how much larger the head of an attempt may be than that of a request:
+// daemons add fields and end each line in a carriage return.
+const MaxHeadFactor = 2
+
 // Attempt is the metadata of an attempt that ingress sends to admission.
 type Attempt struct {
 	ID        identifier.AttemptID
--- a/internal/runner/resources.go
+++ b/internal/runner/resources.go
@@ -7,13 +7,6 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
 )
 
-// Parts of the memory for requests, in percent. Callers leave some to the attempts of other
-// daemons, and both leave some to announcements and operators.
-const (
-	callersPercent = 85
-	peersPercent   = 95
-)
-
 // Parts of the descriptors, in percent. The rest is for files, the log and the other
 // listeners.
 const (
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -112,7 +112,7 @@
 			Self: settings.Node, FailureDomain: settings.FailureDomain, Retention: settings.Log.Retention,
 		}),
 		measuringBudget: receiver.NewMeasuringBudget(clock),
-		memory:          exchanger.NewMemory(settings.Limits.RequestMemory()),
+		memory:          exchanger.NewMemory(settings.Limits.MemoryMB.Requests()),
 		connections:     newConnections(settings.Limits),
 	}
 	d.peers = receiver.NewPeers(receiver.PeersConfig{
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/adapter"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
@@ -27,9 +28,6 @@
 	readTimeout          = 30 * timer.Second
 	maxAnnouncementBytes = 64 << 10
 	maxMessageBytes      = 16 << 20
-	// peerHeaders is how much larger the head of an attempt may be than that of a request:
-	// daemons add fields and end each line in a carriage return.
-	peerHeaders = 2
 )
 
 // servers holds the servers of a daemon.
@@ -50,10 +48,10 @@
 	limits, connections := d.settings.Limits, d.connections
 	s := &servers{failed: make(chan error, 4)}
 	s.ingress = d.newServer(limits.HeaderBytes, limits.BodyBytes, exchanger.ServerConfig{
-		Handler: d.ingress, Names: receiver.Names, Memory: d.memory.Part(callersPercent), MaxConnections: connections.callers,
+		Handler: d.ingress, Names: receiver.Names, Memory: d.memory.Callers(), MaxConnections: connections.callers,
 	})
-	s.peer = d.newServer(peerHeaders*limits.HeaderBytes, max(limits.BodyBytes, maxMessageBytes), exchanger.ServerConfig{
-		Handler: peerResponder.Handler(d.admission), Names: responder.Names, Memory: d.memory.Part(peersPercent), MaxConnections: connections.peers,
+	s.peer = d.newServer(encoder.MaxHeadFactor*limits.HeaderBytes, max(limits.BodyBytes, maxMessageBytes), exchanger.ServerConfig{
+		Handler: peerResponder.Handler(d.admission), Names: responder.Names, Memory: d.memory.Peers(), MaxConnections: connections.peers,
 	})
 	s.local = d.newServer(limits.HeaderBytes, maxAnnouncementBytes, exchanger.ServerConfig{
 		Handler: exchanger.HandlerFunc(d.serveLocal), Memory: d.memory, MaxConnections: localConnections,
--- a/internal/transport/dispatcher/exchange.go
+++ b/internal/transport/dispatcher/exchange.go
@@ -185,7 +185,7 @@
 	if !e.x.Memory().Grow(e.x.Request.HeaderCost()) {
 		// Before an instance is picked, since a picked one counts the attempt.
 		e.attempts = append(e.attempts, &attempt{number: number})
-		e.events <- attemptResult{event: retrier.NotRun{Attempt: number, Reason: classifier.Overloaded, RetryAfter: noRoomRetryAfter}}
+		e.events <- attemptResult{event: retrier.NotRun{Attempt: number, Reason: classifier.Overloaded, RetryAfter: NoRoomRetryAfter}}
 		return true
 	}
 	picked, found := e.request.fleet.pick(now, e.tried)
@@ -264,8 +264,9 @@
 	// answerSlack lets the answer to an attempt that ended at its deadline
 	// arrive, so that its connection can be kept.
 	answerSlack = 50 * timer.Millis(1)
-	// noRoomRetryAfter is about the time that most requests hold their memory.
-	noRoomRetryAfter = 200 * timer.Millis(1)
+	// NoRoomRetryAfter is told to callers whose request finds no memory: about the time that
+	// most requests hold theirs.
+	NoRoomRetryAfter = 200 * timer.Millis(1)
 )
 
 // local runs an attempt on the own instance.
@@ -304,7 +305,7 @@
 	case exchanger.Expired:
 		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Deadline}, latency, selector.NotRun)
 	case exchanger.NoRoom:
-		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Overloaded, RetryAfter: noRoomRetryAfter}, latency, selector.NotRun)
+		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.Overloaded, RetryAfter: NoRoomRetryAfter}, latency, selector.NotRun)
 	case exchanger.ConnectionRefused, exchanger.NotSent:
 		e.request.fleet.eject(e.now(), a.member.Node)
 		e.endAttempt(a, retrier.NotRun{Attempt: a.number, Reason: classifier.ConnectionBroken}, latency, selector.NotRun)
--- a/internal/transport/exchanger/memory.go
+++ b/internal/transport/exchanger/memory.go
@@ -15,17 +15,27 @@
 // NewMemory returns a bound of limit bytes.
 func NewMemory(limit int64) *Memory { return &Memory{limit: limit, used: new(atomic.Int64)} }
 
-// Part returns the same memory with a lower bound, in percent of this one: its users are
-// refused more memory while the others can still get some.
-func (m *Memory) Part(percent int64) *Memory {
+// Parts of the memory for requests, in percent.
+const (
+	callersPercent = 85
+	peersPercent   = 95
+)
+
+// Callers returns the same memory with a lower bound for the requests of callers, which leave
+// some to the attempts of other daemons.
+func (m *Memory) Callers() *Memory { return m.part(callersPercent) }
+
+// Peers returns the same memory with a lower bound for the attempts of other daemons, which
+// leave some to announcements, health checks and operators.
+func (m *Memory) Peers() *Memory { return m.part(peersPercent) }
+
+func (m *Memory) part(percent int64) *Memory {
 	if m == nil {
 		return nil
 	}
 	return &Memory{limit: m.limit / percentWhole * percent, used: m.used}
 }
 
-const percentWhole = 100
-
 // Used returns the number of bytes that are reserved.
 func (m *Memory) Used() int64 { return m.used.Load() }
 
