Reserve the claims of idempotency keys in the budget of the process

What callers saw: nothing yet; a client with many keys could take a daemon beyond the memory of its VM. Claims, kept answers, reports of outcomes, handovers and tokens of arrivals that did not run had bounds in numbers only: up to 60 MB for 100,000 claims of keys of 256 bytes, 8 MB of answers, 16 MB of reports and as much as the claims for handovers, beside a budget of 83 MB of 184.

Evidence: the new TestCrowdOfKeys, with memory_mb 64: 60,000 keys of 250 bytes on 20 connections, then 300 connections with heads of 16 kB in short lines.

All of them are reserved in the budget before they are kept, and take at most half of it. A key without room is refused as not run (full, as before at 100,000 claims); an answer without room is not kept, and its key still never runs again; a handover without room is refused, so that its keys are unknown for their window, as after a lost owner.

--- a/internal/bench/attacker/attack.go
+++ b/internal/bench/attacker/attack.go
@@ -23,14 +23,19 @@
 	lingerTimeout = 4 * timer.Second
 )
 
-// numberMark stands for the number of the connection in a text.
-var numberMark = []byte("%N")
+// numberMark stands for the number of the connection in a text, timesMark for how often the
+// text was sent before.
+var (
+	numberMark = []byte("%N")
+	timesMark  = []byte("%T")
+)
 
 // Attack describes a crowd of connections.
 type Attack struct {
 	Address     identifier.Address
 	Connections int
-	// Text is sent on each connection, with %N replaced by its number.
+	// Text is sent on each connection, with %N replaced by its number and %T by the number of
+	// times that it was sent on it before.
 	Text string
 	// Times is how often the text is sent on each connection; 0 means once.
 	Times int
@@ -112,8 +117,8 @@
 		reader.Go(func() { c.read(conn) })
 	}
 	text := bytes.ReplaceAll([]byte(c.attack.Text), numberMark, []byte(strconv.Itoa(number)))
-	for range c.attack.Times {
-		if err = writePieces(conn, text); err != nil {
+	for n := range c.attack.Times {
+		if err = writePieces(conn, bytes.ReplaceAll(text, timesMark, []byte(strconv.Itoa(n)))); err != nil {
 			break
 		}
 	}
--- a/internal/bench/attacker/daemon_test.go
+++ b/internal/bench/attacker/daemon_test.go
@@ -72,10 +72,17 @@
 	// ingress, peer, local and administration are the addresses it listens on.
 	ingress, peer, local, administration string
 	mu                                   sync.Mutex
-	answer                               string // Of the backend server.
+	// answer and work are the answer of the backend server and the time that it takes.
+	answer string
+	work   time.Duration
 }
 
 func startDaemon(t *testing.T, connections int) *daemon {
+	t.Helper()
+	return startLimited(t, map[string]any{"connections": connections})
+}
+
+func startLimited(t *testing.T, limits map[string]any) *daemon {
 	t.Helper()
 	path, err := attacker.BuildDaemon()
 	if err != nil {
@@ -84,7 +91,7 @@
 	directory := t.TempDir()
 	ports := freePorts(t, 5)
 	d := &daemon{
-		t: t, log: filepath.Join(directory, "log"), ingress: ports[0], peer: ports[1], local: ports[3], administration: ports[4], answer: "ok",
+		t: t, log: filepath.Join(directory, "log"), ingress: ports[0], peer: ports[1], local: ports[3], administration: ports[4], answer: "ok", work: work,
 	}
 	settings, err := json.Marshal(map[string]any{
 		"node": "materials-0", "failure_domain": "aarhus", "region": "jutland", "key_shards": 4, "shutdown_timeout_ms": 2000,
@@ -92,7 +99,7 @@
 			"ingress": ports[0], "peer": ports[1], "probe": ports[2], "local": ports[3], "administration": ports[4],
 		},
 		"log":       map[string]any{"url": "http://" + d.startLog(), "retention_ms": 3600000},
-		"limits":    map[string]any{"connections": connections},
+		"limits":    limits,
 		"operators": []any{map[string]string{"name": "planner", "token_sha256": fmt.Sprintf("%x", sha256.Sum256([]byte(token))), "role": "publisher"}},
 	})
 	if err != nil {
@@ -156,10 +163,11 @@
 	server := &fasthttp.Server{
 		ReadBufferSize: 64 << 10, MaxRequestBodySize: 128 << 20, Logger: log.New(io.Discard, "", 0),
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			time.Sleep(work)
 			d.mu.Lock()
-			defer d.mu.Unlock()
-			ctx.SetBodyString(d.answer)
+			answer, work := d.answer, d.work
+			d.mu.Unlock()
+			time.Sleep(work)
+			ctx.SetBodyString(answer)
 		},
 	}
 	go func() { _ = server.Serve(listener) }()
@@ -179,6 +187,12 @@
 	d.t.Cleanup(func() { close(stopped); _ = server.Shutdown() })
 }
 
+func (d *daemon) setWork(work time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.work = work
+}
+
 func (d *daemon) setAnswer(answer string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -218,6 +232,11 @@
 // checkAlive checks, after an attack, that the daemon answers an ordinary request and has
 // stayed within the bounds of its VM.
 func (d *daemon) checkAlive(t *testing.T) {
+	t.Helper()
+	d.checkWithin(t, memoryMB)
+}
+
+func (d *daemon) checkWithin(t *testing.T, memoryMB int64) {
 	t.Helper()
 	d.awaitAnswer(t)
 	usage, err := d.process.Check(attacker.Bounds{MemoryMB: memoryMB, Descriptors: descriptors})
@@ -346,3 +365,24 @@
 		})
 	}
 }
+
+// Guards against idempotency keys whose claims, kept for the deduplication window, take memory
+// that requests take as well, so that the daemon exceeds the memory of its VM.
+func TestCrowdOfKeys(t *testing.T) {
+	const memoryMB, keyed, keysEach, keyBytes = 64, 20, 3000, 250
+	d := startLimited(t, map[string]any{"connections": connections, "memory_mb": memoryMB})
+	d.setWork(0)
+	key := "%N-%T-" + strings.Repeat("k", keyBytes-len("19-2999-"))
+	keys := attacker.Attack{
+		Address: identifier.Address(d.ingress), Connections: keyed, Times: keysEach, Linger: 15_000,
+		Text: "POST /x HTTP/1.1\r\nHost: shop.example\r\nIdempotency-Key: " + key + "\r\nContent-Length: 0\r\n\r\n",
+	}.Begin()
+	keys.Wait()
+	d.setWork(work)
+	head := attacker.Head("GET /x HTTP/1.1\r\nHost: shop.example\r\n", "a:\r\n", headBytes)
+	heads := attacker.Attack{Address: identifier.Address(d.ingress), Connections: crowd, Text: head, Times: pipelined, Linger: 400}.Begin()
+	heads.Wait()
+	heads.Close()
+	keys.Close()
+	d.checkWithin(t, memoryMB)
+}
--- a/internal/capacity/deduplicator_test.go
+++ b/internal/capacity/deduplicator_test.go
@@ -167,7 +167,7 @@
 		var used int64
 		var cpuNanos float64
 		fillClaims := func() *deduplicator.Claims {
-			claims := deduplicator.NewClaims()
+			claims := deduplicator.NewClaims(nil)
 			claims.BeginOwnership(1, noon, 0, false)
 			for n := range count {
 				r := request(n)
--- a/internal/coordination/claimer/check.go
+++ b/internal/coordination/claimer/check.go
@@ -13,9 +13,6 @@
 
 // Limits of the fields that other daemons send, in bytes.
 const (
-	// MaxKeyBytes bounds an idempotency key. 100,000 claims with keys of this
-	// length take 26 MB.
-	MaxKeyBytes = 256
 	// MaxTokenBytes bounds a token.
 	MaxTokenBytes = 64
 	// maxServiceBytes is the limit of a service name in the sheet.
@@ -75,7 +72,7 @@
 	if err := checkText("service", service, maxServiceBytes); err != nil {
 		return err
 	}
-	if err := checkText("key", key, MaxKeyBytes); err != nil {
+	if err := checkText("key", key, deduplicator.MaxKeyBytes); err != nil {
 		return err
 	}
 	if err := checkText("token", token, MaxTokenBytes); err != nil {
--- a/internal/coordination/claimer/claimer.go
+++ b/internal/coordination/claimer/claimer.go
@@ -71,9 +71,9 @@
 	c := &Claimer{
 		config: config, ownership: ownership,
 		lease:      deduplicator.NewLease(config.Self, ownership, config.Clock.Now()),
-		claims:     deduplicator.NewClaims(),
-		released:   newReleasedTokens(),
-		inbox:      newInbox(),
+		claims:     deduplicator.NewClaims(config.Memory),
+		released:   newReleasedTokens(config.Memory),
+		inbox:      newInbox(config.Memory),
 		appends:    map[identifier.Shard]pendingAppends{},
 		handedOver: map[identifier.Shard]identifier.Epoch{},
 	}
--- a/internal/coordination/claimer/cluster_test.go
+++ b/internal/coordination/claimer/cluster_test.go
@@ -49,7 +49,8 @@
 type daemon struct {
 	*claimer.Claimer
 	*cluster
-	self deduplicator.Claimant
+	self   deduplicator.Claimant
+	memory *limitedMemory
 
 	state               sync.Mutex
 	paused, unreachable bool
@@ -76,7 +77,7 @@
 	c = &cluster{Gomega: NewWithT(t), clock: clock, peers: map[deduplicator.Claimant]claimer.Peer{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	for i := range size {
-		d := &daemon{cluster: c, self: deduplicator.Claimant{Instance: identifier.InstanceID(fmt.Sprint("daemon-", i)), Incarnation: 1}}
+		d := &daemon{cluster: c, self: deduplicator.Claimant{Instance: identifier.InstanceID(fmt.Sprint("daemon-", i)), Incarnation: 1}, memory: &limitedMemory{limit: 1 << 30}}
 		d.Claimer = claimer.New(claimer.Config{
 			Self: d.self, ShardCount: 1, Log: c, Clock: c.clock,
 			Peer: func(claimant deduplicator.Claimant) (claimer.Peer, bool) {
@@ -84,6 +85,7 @@
 			},
 			Members: func() deduplicator.Members { return c.members },
 			Window:  func(identifier.ServiceName) (timer.Millis, bool) { return window, true },
+			Memory:  d.memory,
 		})
 		c.daemons = append(c.daemons, d)
 		c.members.List = append(c.members.List, deduplicator.Member{Claimant: d.self})
--- a/internal/coordination/claimer/config.go
+++ b/internal/coordination/claimer/config.go
@@ -38,6 +38,9 @@
 	// Window returns the deduplication window of a service, or false if the
 	// service is unknown or does not use deduplication.
 	Window func(identifier.ServiceName) (timer.Millis, bool)
+	// Memory bounds the claims, their answers and the reports. Nil has no bound but their
+	// numbers.
+	Memory deduplicator.Memory
 	Logger *slog.Logger
 }
 
@@ -45,6 +48,7 @@
 	if c.ShardCount == 0 {
 		c.ShardCount = deduplicator.DefaultShardCount
 	}
+	c.Memory = deduplicator.OrUnbounded(c.Memory)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/internal/coordination/claimer/inbox.go
+++ b/internal/coordination/claimer/inbox.go
@@ -17,7 +17,9 @@
 	epoch  identifier.Epoch
 	claims map[deduplicator.Key]deduplicator.Claim
 	// answerBytes is the total size of the answers in claims.
-	answerBytes   int
+	answerBytes int
+	// reserved is the memory of claims.
+	reserved      int64
 	lastMessageAt timer.Millis
 	// done is set once the claims were imported.
 	done bool
@@ -26,10 +28,13 @@
 // inbox collects the messages of handovers until they are complete. It is not
 // safe for concurrent use.
 type inbox struct {
+	memory deduplicator.Memory
 	shards map[identifier.Shard]*incomingHandover
 }
 
-func newInbox() *inbox { return &inbox{shards: map[identifier.Shard]*incomingHandover{}} }
+func newInbox(memory deduplicator.Memory) *inbox {
+	return &inbox{memory: memory, shards: map[identifier.Shard]*incomingHandover{}}
+}
 
 // add stores claims until take and reports whether they were within the limit. A
 // repeated message has no further effect, since the sender's claims do not change
@@ -42,6 +47,7 @@
 	}
 	in := i.shards[shard]
 	if in == nil || in.epoch != epoch {
+		i.remove(shard)
 		in = &incomingHandover{epoch: epoch, claims: map[deduplicator.Key]deduplicator.Claim{}}
 		i.shards[shard] = in
 	}
@@ -57,6 +63,11 @@
 		if answerBytes+len(claim.Answer) > deduplicator.MaxTotalAnswerBytes {
 			claim.Answer = nil
 		}
+		bytes := claim.Bytes() + int64(len(claim.Answer))
+		if !i.memory.Grow(bytes) {
+			return false
+		}
+		in.reserved += bytes
 		in.claims[claim.Key] = claim
 		in.answerBytes += len(claim.Answer)
 		answerBytes += len(claim.Answer)
@@ -72,13 +83,13 @@
 }
 
 // take removes and returns the collected claims of an epoch in the order of their
-// expiry.
+// expiry. Their memory is freed.
 func (i *inbox) take(shard identifier.Shard, epoch identifier.Epoch) []deduplicator.Claim {
 	in := i.shards[shard]
 	if in == nil || in.epoch != epoch {
 		return nil
 	}
-	delete(i.shards, shard)
+	i.remove(shard)
 	return slices.SortedFunc(maps.Values(in.claims), func(a, b deduplicator.Claim) int {
 		return int(a.ExpiresAt - b.ExpiresAt)
 	})
@@ -86,6 +97,7 @@
 
 // setDone records that the claims of an epoch were imported.
 func (i *inbox) setDone(shard identifier.Shard, epoch identifier.Epoch) {
+	i.remove(shard)
 	i.shards[shard] = &incomingHandover{epoch: epoch, done: true}
 }
 
@@ -93,13 +105,23 @@
 // imported.
 func (i *inbox) drop(shard identifier.Shard) bool {
 	in := i.shards[shard]
-	delete(i.shards, shard)
+	i.remove(shard)
 	return in != nil && in.done
 }
 
+// remove removes the handover of a shard, if any, and frees its memory.
+func (i *inbox) remove(shard identifier.Shard) {
+	if in := i.shards[shard]; in != nil {
+		i.memory.Shrink(in.reserved)
+		delete(i.shards, shard)
+	}
+}
+
 // expire removes incomplete handovers whose messages stopped.
 func (i *inbox) expire(now timer.Millis) {
-	maps.DeleteFunc(i.shards, func(_ identifier.Shard, in *incomingHandover) bool {
-		return !in.done && now-in.lastMessageAt >= handoverIdleTimeout
-	})
+	for shard, in := range i.shards {
+		if !in.done && now-in.lastMessageAt >= handoverIdleTimeout {
+			i.remove(shard)
+		}
+	}
 }
--- a/internal/coordination/claimer/released.go
+++ b/internal/coordination/claimer/released.go
@@ -12,6 +12,8 @@
 	// maxReleasedTokens bounds the memory for tokens to about 5 MB. An evicted token
 	// can at worst block its key.
 	maxReleasedTokens = 30_000
+	// releasedTokenBytes is the memory that a token takes beside its text.
+	releasedTokenBytes = 96
 )
 
 type releasedToken struct {
@@ -23,27 +25,43 @@
 // a delayed copy of their claim message does not take the key again. It is not safe
 // for concurrent use.
 type releasedTokens struct {
-	until map[deduplicator.Token]timer.Millis
+	memory deduplicator.Memory
+	until  map[deduplicator.Token]timer.Millis
 	// order lists the tokens by expiry.
 	order []releasedToken
 }
 
-func newReleasedTokens() *releasedTokens {
-	return &releasedTokens{until: map[deduplicator.Token]timer.Millis{}}
+func newReleasedTokens(memory deduplicator.Memory) *releasedTokens {
+	return &releasedTokens{memory: memory, until: map[deduplicator.Token]timer.Millis{}}
 }
 
 func (r *releasedTokens) add(now timer.Millis, token deduplicator.Token) {
 	for len(r.order) > 0 && (r.order[0].until <= now || len(r.order) >= maxReleasedTokens) {
-		// A token that was added again has another entry with a later expiry.
-		if oldest := r.order[0]; r.until[oldest.token] == oldest.until {
-			delete(r.until, oldest.token)
+		r.removeOldest()
+	}
+	for !r.memory.Grow(tokenBytes(token)) {
+		if len(r.order) == 0 {
+			return
 		}
-		r.order = r.order[1:]
+		r.removeOldest()
 	}
 	r.until[token] = now + releasedTokenTTL
 	r.order = append(r.order, releasedToken{token, now + releasedTokenTTL})
 }
 
+func (r *releasedTokens) removeOldest() {
+	oldest := r.order[0]
+	// A token that was added again has another entry with a later expiry.
+	if r.until[oldest.token] == oldest.until {
+		delete(r.until, oldest.token)
+	}
+	r.order = r.order[1:]
+	r.memory.Shrink(tokenBytes(oldest.token))
+}
+
+// tokenBytes returns the memory that a released token takes.
+func tokenBytes(token deduplicator.Token) int64 { return releasedTokenBytes + int64(len(token)) }
+
 func (r *releasedTokens) has(now timer.Millis, token deduplicator.Token) bool {
 	until, found := r.until[token]
 	return found && now < until
--- a/internal/coordination/claimer/settle.go
+++ b/internal/coordination/claimer/settle.go
@@ -23,6 +23,10 @@
 	// maxPendingReports bounds the reports in progress while an owner does not
 	// answer. With answers of the maximum size they take 16 MB.
 	maxPendingReports = 1024
+	// reportBytes is the memory that a report takes beside its texts and its answer,
+	// which is encoded for each attempt.
+	reportBytes  = 4 << 10
+	answerCopies = 2
 )
 
 // settlement is the outcome of a claimed request that is reported to the owner.
@@ -59,12 +63,18 @@
 		s.answer = bytes.Clone(answer)
 	}
 	if !c.settleOrReport(s) {
-		c.config.Logger.Warn("claim outcome dropped: too many pending reports", "shard", s.shard, "limit", maxPendingReports)
+		c.config.Logger.Warn("claim outcome dropped: too many pending reports, or no memory", "shard", s.shard, "limit", maxPendingReports)
 	}
 }
 
+// bytes returns the memory that a report of the outcome takes.
+func (s settlement) bytes() int64 {
+	return reportBytes + int64(len(s.key.Key)) + answerCopies*int64(len(s.answer))
+}
+
 // settleOrReport records an outcome as owner or starts to report it to the owner.
-// It returns false if too many reports are pending.
+// It returns false if too many reports are pending or no memory is left. An answer that
+// finds no room is left out of its report: the key is settled without it.
 func (c *Claimer) settleOrReport(s settlement) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -74,9 +84,16 @@
 	if c.pendingReports >= maxPendingReports {
 		return false
 	}
+	if !c.config.Memory.Grow(s.bytes()) {
+		s.answer = nil
+		if !c.config.Memory.Grow(s.bytes()) {
+			return false
+		}
+	}
 	c.pendingReports++
 	c.runInBackground(func() {
 		c.report(s)
+		c.config.Memory.Shrink(s.bytes())
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.pendingReports--
--- a/internal/state/deduplicator/claims.go
+++ b/internal/state/deduplicator/claims.go
@@ -13,6 +13,8 @@
 	MaxAnswerBytes = 16 << 10
 	// MaxTotalAnswerBytes bounds the sum of all kept answers.
 	MaxTotalAnswerBytes = 8 << 20
+	// MaxKeyBytes bounds an idempotency key.
+	MaxKeyBytes = 256
 	// MaxClaims bounds the claims that one daemon keeps.
 	MaxClaims = 100_000
 	// sweepInterval is the time between two scans of all claims for expired ones.
@@ -29,6 +31,7 @@
 
 // Claims is the owner's table of keys. It is not safe for concurrent use.
 type Claims struct {
+	memory Memory
 	claims map[Key]*list.Element
 	// order lists the claims by time of their grant.
 	order       *list.List
@@ -39,9 +42,11 @@
 	lastSweep timer.Millis
 }
 
-// NewClaims returns an empty table.
-func NewClaims() *Claims {
+// NewClaims returns an empty table, whose claims and answers are reserved in a memory. Without
+// one, only the bounds of the table apply.
+func NewClaims(memory Memory) *Claims {
 	return &Claims{
+		memory:    OrUnbounded(memory),
 		claims:    map[Key]*list.Element{},
 		order:     list.New(),
 		takeovers: map[identifier.Shard]takeover{},
@@ -87,10 +92,14 @@
 	if len(c.claims) >= MaxClaims {
 		return Full, nil
 	}
-	c.add(&Claim{
+	claim := &Claim{
 		Key: request.Key, Shard: request.Shard, Fingerprint: request.Fingerprint,
 		Token: request.Token, ExpiresAt: now + request.Window,
-	})
+	}
+	if !c.memory.Grow(claim.Bytes()) {
+		return Full, nil
+	}
+	c.add(claim)
 	return Granted, nil
 }
 
@@ -144,7 +153,7 @@
 }
 
 func (c *Claims) storeAnswer(claim *Claim, answer []byte) {
-	if len(answer) > MaxAnswerBytes || c.answerBytes+len(answer) > MaxTotalAnswerBytes {
+	if len(answer) > MaxAnswerBytes || c.answerBytes+len(answer) > MaxTotalAnswerBytes || !c.memory.Grow(int64(len(answer))) {
 		return
 	}
 	claim.Answer = answer
@@ -167,12 +176,13 @@
 
 // Import adds the claims of a handover. It reports whether all could be kept.
 func (c *Claims) Import(now timer.Millis, handover Handover) bool {
-	if len(c.claims)+len(handover.Claims) > MaxClaims {
+	if len(c.claims)+len(handover.Claims) > MaxClaims || !c.memory.Grow(bytesOf(handover.Claims)) {
 		return false
 	}
 	c.inherited[handover.Shard] = takeover{claimsLost: handover.ClaimsLost, startedAtWall: handover.LostAt, startedAt: now - handover.LostAge}
 	for _, claim := range handover.Claims {
 		if _, found := c.claims[claim.Key]; found {
+			c.memory.Shrink(claim.Bytes())
 			continue
 		}
 		kept := claim
@@ -184,14 +194,23 @@
 	return true
 }
 
+func bytesOf(claims []Claim) (total int64) {
+	for _, claim := range claims {
+		total += claim.Bytes()
+	}
+	return total
+}
+
 // Len returns the number of claims.
 func (c *Claims) Len() int { return len(c.claims) }
 
+// add adds a claim whose memory is reserved.
 func (c *Claims) add(claim *Claim) { c.claims[claim.Key] = c.order.PushBack(claim) }
 
 func (c *Claims) remove(e *list.Element) {
 	claim := claimOf(e)
 	c.answerBytes -= len(claim.Answer)
+	c.memory.Shrink(claim.Bytes() + int64(len(claim.Answer)))
 	delete(c.claims, claim.Key)
 	c.order.Remove(e)
 }
--- a/internal/state/deduplicator/claims_test.go
+++ b/internal/state/deduplicator/claims_test.go
@@ -44,7 +44,7 @@
 	}
 	for _, c := range cases {
 		It("guards against a second run: "+c.name, func() {
-			claims := deduplicator.NewClaims()
+			claims := deduplicator.NewClaims(nil)
 			claims.BeginOwnership(1, wall, 0, false)
 			verdict, _ := claims.Claim(1, wall, request("k", "t1"))
 			Expect(verdict).To(Equal(deduplicator.Granted))
@@ -72,7 +72,7 @@
 	}
 	for _, c := range dated {
 		It("guards against a run that a lost owner may have granted: "+c.name, func() {
-			claims := deduplicator.NewClaims()
+			claims := deduplicator.NewClaims(nil)
 			claims.BeginOwnership(1, wall, 0, c.lost)
 			verdict, _ := claims.Claim(2, wall+1, request(c.key, "t1"))
 			Expect(verdict).To(Equal(c.want))
--- a/internal/state/deduplicator/lease_test.go
+++ b/internal/state/deduplicator/lease_test.go
@@ -67,7 +67,7 @@
 }
 
 func (d *deployment) start(name string, incarnation identifier.Incarnation) *node {
-	n := &node{ownership: deduplicator.NewOwnership(shardCount), claims: deduplicator.NewClaims()}
+	n := &node{ownership: deduplicator.NewOwnership(shardCount), claims: deduplicator.NewClaims(nil)}
 	n.member = deduplicator.Member{Claimant: deduplicator.Claimant{Instance: identifier.InstanceID(name), Incarnation: incarnation}}
 	n.lease = deduplicator.NewLease(n.member.Claimant, n.ownership, d.now)
 	return n
--- a/internal/transport/exchanger/memory.go
+++ b/internal/transport/exchanger/memory.go
@@ -42,13 +42,24 @@
 // scarce reports whether less than a quarter of the memory is left.
 func (m *Memory) scarce() bool { return m != nil && m.used.Load() > m.limit-m.limit/4 }
 
+// claimsPercent is the part of the memory that claims of keys may take.
+const claimsPercent = 50
+
+// NewClaims returns an empty reservation for claims of keys, which are kept long after their
+// requests. They take at most half of the memory, so that requests still find some.
+func (m *Memory) NewClaims() *Reservation {
+	return &Reservation{memory: m, limit: m.limit / percentWhole * claimsPercent}
+}
+
 // NewReservation returns an empty reservation.
 func (m *Memory) NewReservation() *Reservation { return &Reservation{memory: m} }
 
-// Reservation is the memory held for one connection or one exchange. It is safe for
-// concurrent use. A nil Reservation has no bound.
+// Reservation is the memory held for one connection, one exchange or all claims of keys. It is
+// safe for concurrent use. A nil Reservation has no bound.
 type Reservation struct {
 	memory *Memory
+	// limit bounds the reservation; 0 has no bound but the memory's.
+	limit int64
 
 	mu     sync.Mutex
 	held   int64
@@ -65,7 +76,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed {
+	if r.closed || r.limit > 0 && r.held+bytes > r.limit {
 		return false
 	}
 	if m := r.memory; m != nil && m.used.Add(bytes) > m.limit {
