Refuse an idempotency key that is too long as a bad request

What callers saw: 503, key_owner_unavailable, with a Retry-After, for a key over 256 bytes. A request with such a key can never be granted, so a repeat is of no use, and the daemon logged a warning for each.

The ingress refuses it at once with 400. The new spec got 503 before and 400 now.

--- a/internal/transport/receiver/failure_test.go
+++ b/internal/transport/receiver/failure_test.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/admitter"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/quarantiner"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/tester"
@@ -357,6 +358,19 @@
 		})
 	}
 
+	It("guards against telling a caller to repeat a request whose key is too long to be ever granted", func() {
+		env := newEnvironment(GinkgoTB(), startBackend().address)
+		request, response := &fasthttp.Request{}, &fasthttp.Response{}
+		request.Header.SetMethod("POST")
+		request.SetRequestURI("http://" + env.address + "/orders")
+		request.Header.Set(encoder.HeaderIdempotencyKey, strings.Repeat("k", deduplicator.MaxKeyBytes+1))
+		client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+		Expect(client.DoTimeout(request, response, 5*time.Second)).To(Succeed())
+		Expect(response.StatusCode()).To(Equal(fasthttp.StatusBadRequest))
+		Expect(string(response.Header.Peek(encoder.HeaderOutcome))).To(Equal("not_run"))
+		Expect(string(response.Header.Peek("Retry-After"))).To(BeEmpty())
+	})
+
 	It("guards against a refusal without outcome of a body over the limit", func() {
 		env := newEnvironment(GinkgoTB(), startBackend().address)
 		conn, err := net.Dial("tcp", env.address)
--- a/internal/transport/receiver/ingress.go
+++ b/internal/transport/receiver/ingress.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/encoder"
 	"github.com/magnoliaknot/magnoliaknot/internal/protocol/separator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/classifier"
+	"github.com/magnoliaknot/magnoliaknot/internal/state/deduplicator"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/scheduler"
 	"github.com/magnoliaknot/magnoliaknot/internal/state/tracker"
 	"github.com/magnoliaknot/magnoliaknot/internal/transport/exchanger"
@@ -176,6 +177,9 @@
 		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.KeyRequired}
 	}
 	r.keyed = r.key != "" && !r.idempotent && service.DeduplicationWindow > 0
+	if r.keyed && len(r.key) > deduplicator.MaxKeyBytes {
+		return nil, &encoder.Refusal{Outcome: encoder.NotRun, Reason: classifier.BadRequest}
+	}
 	return r, nil
 }
 
