--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -157,7 +157,7 @@
 	return claimer.New(claimer.Config{
 		Self:       deduplicator.Claimant{Instance: d.settings.Node, Incarnation: d.incarnation},
 		ShardCount: uint32(d.settings.KeyShards), Clock: d.clock, Log: d.log, Logger: d.logger,
-		Peer: d.claimantClient, Members: d.claimants, Window: d.deduplicationWindow, Memory: d.memory.NewClaims(),
+		Peer: d.claimantClient, Members: d.claimants, Window: d.deduplicationWindow, Memory: d.memory.NewClaimReservation(),
 	})
 }
 
--- a/internal/transport/exchanger/memory.go
+++ b/internal/transport/exchanger/memory.go
@@ -45,9 +45,9 @@
 // claimsPercent is the part of the memory that claims of keys may take.
 const claimsPercent = 50
 
-// NewClaims returns an empty reservation for claims of keys, which are kept long after their
+// NewClaimReservation returns an empty reservation for claims of keys, which are kept long after their
 // requests. They take at most half of the memory, so that requests still find some.
-func (m *Memory) NewClaims() *Reservation {
+func (m *Memory) NewClaimReservation() *Reservation {
 	return &Reservation{memory: m, limit: m.limit / percentWhole * claimsPercent}
 }
 
