Charge silent daemons independently of the order in which they are noticed

Callers saw: now and then an account got more requests than its quota allows after daemons were cut off.

Cause: a coordinator charges a daemon that falls silent by the growth of what all daemons offer, and removes what the daemon offered at once. Of several noticed together, the later ones were charged by a smaller growth, in the random order of a map. One of three causes of the failure.

Change: what lost daemons offered is removed after all of them are charged.

--- a/internal/state/apportioner/apportioner.go
+++ b/internal/state/apportioner/apportioner.go
@@ -210,6 +210,7 @@
 		return
 	}
 	a.settledAt = now
+	var lost []*daemon
 	for node, d := range a.daemons {
 		timeout := silenceTimeout
 		if d.idle {
@@ -222,8 +223,13 @@
 			a.countUnheard()
 		case silent > timeout && !d.silent:
 			a.reserve(now, d)
+			lost = append(lost, d)
 		}
 	}
+	// The charges above depend on what is offered, and must not depend on their order.
+	for _, d := range lost {
+		a.withdraw(d)
+	}
 }
 
 // reserve charges a silent daemon's accounts with what it may admit without an answer.
@@ -235,7 +241,13 @@
 		u.reservedAt, u.reserved, u.advance = now, growthWithoutAnswer*u.mean, account.advance(u.mean)
 		account.charge(now, u.advance)
 		account.reserve(now, u.reserved)
-		a.offer(key, account, -u.offered)
+	}
+}
+
+// withdraw removes what a silent daemon offers.
+func (a *Apportioner) withdraw(d *daemon) {
+	for key, u := range d.uses {
+		a.offer(key, a.accounts[key], -u.offered)
 		u.offered = 0
 	}
 }
--- a/internal/state/apportioner/apportioner_test.go
+++ b/internal/state/apportioner/apportioner_test.go
@@ -240,6 +240,24 @@
 		Expect(a.Use(3400, use(1, 10, 1000, 8)).Limits).NotTo(BeEmpty())
 		Expect(a.Use(3600, use(1, 11, 1000, 8)).Limits).To(BeEmpty())
 	})
+	It("guards against a charge that depends on which of several silent daemons is noticed first", func() {
+		shares := map[throttler.Share]bool{}
+		for range 50 {
+			a, now, grant := apportioner.New(1000, 3), timer.Millis(1000), throttler.Grant{}
+			a.SetAccounts(now, []router.Account{{Name: "a", Quota: router.Quota{PerSecond: 1000, Burst: 1000}}})
+			for sequence := uint64(1); now <= 12000; sequence++ {
+				for i, offered := range []float64{1800, 100, 200, 300, 400, 500} {
+					if silent := i > 0 && now > 11000; !silent {
+						grant = a.Use(now, use(throttler.NodeKey(i), sequence, uint32(i*i)*uint32(sequence)/2, offered))
+					}
+				}
+				now += 200
+			}
+			Expect(grant.Limits).To(HaveLen(1))
+			shares[grant.Limits[0].Share] = true
+		}
+		Expect(shares).To(HaveLen(1))
+	})
 	It("guards against counts that overflow and against more that are returned than admitted", func() {
 		a := coordinator()
 		a.Use(1000, use(1, 1, math.MaxUint32-2, 12))
