Raise the charge of a silent daemon while the requests of others grow

Cause: a daemon that is cut off is noticed 0 to 0.9 s later, depending on when it reported last. It was charged once, by the growth reported until then. Where an account became hot at the time of the cut, the daemons that were noticed first were charged as if nothing had grown.

Change: for 2 s after its last report a silent daemon's charge follows the growth of the others. What it was charged too much is returned with its next report, as before.

--- a/internal/state/apportioner/apportioner.go
+++ b/internal/state/apportioner/apportioner.go
@@ -29,6 +29,10 @@
 	silenceTimeout = 500 * timer.Millis(1)
 	// idleTimeout is the same for a daemon without requests, which reports more rarely.
 	idleTimeout = 900 * timer.Millis(1)
+	// growthSpan is the time after its last report for which a silent daemon's charge follows
+	// the growth of the requests of others: up to 1 s until it limits itself, and as long
+	// until all of the growth is reported.
+	growthSpan = 2 * timer.Second
 	// forgetAfter is how long a silent daemon is charged. It is the time after which
 	// members are removed.
 	forgetAfter = 2 * timer.Minute
@@ -224,6 +228,8 @@
 		case silent > timeout && !d.silent:
 			a.reserve(now, d)
 			lost = append(lost, d)
+		case d.silent && silent <= growthSpan:
+			a.follow(now, d)
 		}
 	}
 	// The charges above depend on what is offered, and must not depend on their order.
@@ -244,6 +250,18 @@
 	}
 }
 
+// follow raises the charges of a silent daemon if the requests of others have grown since.
+// Its own may have grown as much before it noticed that answers are missing.
+func (a *Apportioner) follow(now timer.Millis, d *daemon) {
+	for key, u := range d.uses {
+		account := a.accounts[key]
+		if more := account.advance(u.mean) - u.advance; more > 0 {
+			account.charge(now, more)
+			u.advance += more
+		}
+	}
+}
+
 // withdraw removes what a silent daemon offers.
 func (a *Apportioner) withdraw(d *daemon) {
 	for key, u := range d.uses {
--- a/internal/state/apportioner/apportioner_test.go
+++ b/internal/state/apportioner/apportioner_test.go
@@ -240,6 +240,32 @@
 		Expect(a.Use(3400, use(1, 10, 1000, 8)).Limits).NotTo(BeEmpty())
 		Expect(a.Use(3600, use(1, 11, 1000, 8)).Limits).To(BeEmpty())
 	})
+	It("guards against a daemon that is charged less because it fell silent before the growth of an account was reported", func() {
+		share := func(grown timer.Millis) throttler.Share {
+			a, now, admitted := apportioner.New(1000, 3), timer.Millis(1000), [2]uint32{}
+			a.SetAccounts(now, []router.Account{{Name: "a", Quota: router.Quota{PerSecond: 100, Burst: 100}}})
+			var grant throttler.Grant
+			for sequence := uint64(1); now <= 12200; sequence++ {
+				for i, offered := range []float64{15, 60} {
+					if i == 1 && now >= grown {
+						offered = 240
+					}
+					if silent := i == 0 && now > 11000; !silent {
+						admitted[i] += []uint32{3, 12}[i]
+						grant = a.Use(now, use(throttler.NodeKey(i), sequence, admitted[i], offered))
+					}
+				}
+				now += 200
+			}
+			Expect(grant.Limits).To(HaveLen(1))
+			return grant.Limits[0].Share
+		}
+		before := share(11200)
+		Expect(before.Fraction()).To(BeNumerically(">", 0))
+		for _, grown := range []timer.Millis{11600, 11800, 12000} {
+			Expect(share(grown).Fraction()).To(BeNumerically("<=", before.Fraction()*1.05), "grown at %d ms", grown)
+		}
+	})
 	It("guards against a charge that depends on which of several silent daemons is noticed first", func() {
 		shares := map[throttler.Share]bool{}
 		for range 50 {
