Correct the mean rates of daemons for the time that a coordinator has known them

Cause: a coordinator that takes over counts the mean rate of each daemon from zero, over 10 s. A daemon that fell silent in that time was charged a part of what it may admit without an answer.

Change: the mean rate is divided by the part of its time that the reports of the daemon account for.

--- a/internal/state/apportioner/apportioner.go
+++ b/internal/state/apportioner/apportioner.go
@@ -121,7 +121,7 @@
 		if known {
 			a.drop(now, d)
 		}
-		d = &daemon{incarnation: report.Incarnation, uses: map[throttler.AccountKey]*use{}}
+		d = &daemon{incarnation: report.Incarnation, since: now, uses: map[throttler.AccountKey]*use{}}
 		a.daemons[report.Node] = d
 		a.countUnheard()
 	}
@@ -244,7 +244,8 @@
 	for key, u := range d.uses {
 		account := a.accounts[key]
 		u.decay(now)
-		u.reservedAt, u.reserved, u.advance = now, growthWithoutAnswer*u.mean, account.advance(u.mean)
+		u.lost = u.mean / d.observed()
+		u.reservedAt, u.reserved, u.advance = now, growthWithoutAnswer*u.lost, account.advance(u.lost)
 		account.charge(now, u.advance)
 		account.reserve(now, u.reserved)
 	}
@@ -255,7 +256,7 @@
 func (a *Apportioner) follow(now timer.Millis, d *daemon) {
 	for key, u := range d.uses {
 		account := a.accounts[key]
-		if more := account.advance(u.mean) - u.advance; more > 0 {
+		if more := account.advance(u.lost) - u.advance; more > 0 {
 			account.charge(now, more)
 			u.advance += more
 		}
--- a/internal/state/apportioner/apportioner_test.go
+++ b/internal/state/apportioner/apportioner_test.go
@@ -115,6 +115,13 @@
 			f.demand *= hot
 			f.run(6500)
 		}},
+		{"half of the daemons cut off while an account becomes hot, 4 s after another coordinator was named", func(f *fleet) {
+			f.name(2, 1500)
+			f.run(4 * timer.Second)
+			f.cutHalf()
+			f.demand *= hot
+			f.run(6500)
+		}},
 		{"a third of the daemons restarted while an account is hot", func(f *fleet) {
 			f.demand *= hot
 			f.run(2 * timer.Second)
@@ -266,6 +273,30 @@
 			Expect(share(grown).Fraction()).To(BeNumerically("<=", before.Fraction()*1.05), "grown at %d ms", grown)
 		}
 	})
+	It("guards against a daemon that is charged less because its coordinator has just taken over", func() {
+		share := func(started timer.Millis) throttler.Share {
+			a := apportioner.New(started, 3)
+			a.SetAccounts(started, []router.Account{{Name: "a", Quota: router.Quota{PerSecond: 100, Burst: 100}}})
+			var grant throttler.Grant
+			sequence := uint64(started / 200)
+			for now := started; now <= 62600; now += 200 {
+				sequence++
+				for i := range 2 {
+					if silent := i == 0 && now > 61000; !silent {
+						offered := []float64{20, 20 + 180*float64(now/61200)}[i]
+						grant = a.Use(now, use(throttler.NodeKey(i), sequence, 4*uint32(sequence), offered))
+					}
+				}
+			}
+			Expect(grant.Limits).To(HaveLen(1))
+			return grant.Limits[0].Share
+		}
+		before := share(1000)
+		Expect(before.Fraction()).To(BeNumerically(">", 0))
+		for _, started := range []timer.Millis{51000, 56000, 58000} {
+			Expect(share(started).Fraction()).To(BeNumerically("<=", before.Fraction()*1.05), "started at %d ms", started)
+		}
+	})
 	It("guards against a charge that depends on which of several silent daemons is noticed first", func() {
 		shares := map[throttler.Share]bool{}
 		for range 50 {
--- a/internal/state/apportioner/daemon.go
+++ b/internal/state/apportioner/daemon.go
@@ -16,12 +16,15 @@
 	// idleMean is the mean rate below which an account is forgotten at a daemon: one
 	// request about 30 s ago.
 	idleMean = 0.005
+	// minObserved is the least time that a daemon's rates are taken from.
+	minObserved = timer.Second
 )
 
 // daemon is what a daemon has reported.
 type daemon struct {
 	incarnation identifier.Incarnation
 	sequence    uint64
+	since       timer.Millis
 	heard       timer.Millis
 	silent      bool
 	// idle daemons have no requests.
@@ -38,12 +41,20 @@
 	// mean is the mean rate of admitted requests as of meanAt.
 	mean   float64
 	meanAt timer.Millis
+	// lost is the mean rate that the daemon had when it fell silent.
+	lost float64
 	// reserved is the rate charged since reservedAt while the daemon is silent, and
 	// advance what was charged at once.
 	reserved, advance float64
 	reservedAt        timer.Millis
 }
 
+// observed returns the part of a daemon's mean rates that its reports account for. A
+// coordinator that has just taken over has seen only a part of the time that they cover.
+func (d *daemon) observed() float64 {
+	return 1 - math.Exp(-float64(max(d.heard-d.since, minObserved))/float64(historyWindow))
+}
+
 func (u *use) decay(now timer.Millis) {
 	if now > u.meanAt {
 		u.mean *= math.Exp(-float64(now-u.meanAt) / float64(historyWindow))
