--- a/review/harness3/backend.go
+++ b/review/harness3/backend.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,6 @@
 )
 
 const (
-	backendSlots = 6
 	beatInterval = 1500 * time.Millisecond
 	coldTime     = 3 * time.Second
 	runTime      = 30 * time.Millisecond
@@ -37,6 +37,7 @@
 	// crash says that the request for crashPath ends the process: in its answer, or before
 	// the first byte of it.
 	crash    string
+	slots    int
 	cold     bool
 	born     time.Time
 	running  atomic.Int64
@@ -54,6 +55,7 @@
 	flags.StringVar(&b.address, "listen", "", "address")
 	flags.StringVar(&b.control, "control", "", "address for heartbeats")
 	flags.StringVar(&b.crash, "crash", "", "when a request for the crash path ends the process: answer or start")
+	flags.IntVar(&b.slots, "slots", 1, "number of requests that it runs at a time")
 	flags.BoolVar(&b.cold, "cold", false, "whether it is cold after its start")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -81,7 +83,7 @@
 		b.sequence++
 		body, err := json.Marshal(map[string]any{
 			"born": b.born.UnixMilli(), "Address": b.address,
-			"Info":   map[string]any{"Service": b.service, "Version": "v1", "Concurrency": backendSlots},
+			"Info":   map[string]any{"Service": b.service, "Version": "v1", "Concurrency": b.slots},
 			"Status": map[string]any{"State": "ready", "Sequence": b.sequence, "WarmupLeftS": b.coldLeft()},
 		})
 		if err != nil {
@@ -98,7 +100,7 @@
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
 	header.Set("X-Instance-Id", b.id)
-	header.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", b.running.Load(), backendSlots))
+	header.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", b.running.Load(), b.slots))
 	if r.URL.Path == "/health" {
 		if left := b.coldLeft(); left > 0 {
 			header.Set("X-Warmup-Remaining", fmt.Sprintf("%.3f", left))
@@ -122,8 +124,12 @@
 	if r.URL.Path == crashPath && b.crash != "" {
 		b.crashNow(w)
 	}
+	work := runTime
+	if ms, err := strconv.Atoi(r.URL.Query().Get("ms")); err == nil {
+		work = time.Duration(ms) * time.Millisecond
+	}
 	select {
-	case <-time.After(runTime):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
@@ -175,7 +181,7 @@
 	id := fmt.Sprintf("i-%d-%d", v.number, v.starts)
 	cmd := exec.Command(
 		self, "backend", "--id", id, "--service", v.service, "--listen", v.address(portBackend), "--control", v.address(portControl),
-		"--crash", mode, fmt.Sprintf("--cold=%v", v.starts > 0),
+		"--crash", mode, fmt.Sprintf("--slots=%d", v.fleet.slots), fmt.Sprintf("--cold=%v", v.starts > 0),
 	)
 	cmd.Stderr = os.Stderr
 	out, err := cmd.StdoutPipe()
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -44,6 +44,7 @@
 	directory string
 	prefix    string
 	store     *standin.Store
+	slots     int
 	listener  net.Listener
 	vms       []*vm
 
@@ -61,21 +62,23 @@
 	mu      sync.Mutex
 	daemon  *exec.Cmd
 	backend *exec.Cmd
-	starts  int
-	waiting sync.WaitGroup
+	// daemonEnded is closed when the daemon has ended.
+	daemonEnded chan struct{}
+	starts      int
+	waiting     sync.WaitGroup
 }
 
 func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
 
 // startFleet starts a fleet and waits until every daemon is ready and every backend server
 // is warm.
-func startFleet(daemon string, services []string, r *record) (*fleet, error) {
+func startFleet(daemon string, s scenario, r *record) (*fleet, error) {
 	directory, err := os.MkdirTemp("", "harness3")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, daemon: daemon, directory: directory, store: standin.NewStore()}
-	if err := f.start(services); err != nil {
+	f := &fleet{record: r, daemon: daemon, directory: directory, store: standin.NewStore(), slots: s.slots}
+	if err := f.start(s.services); err != nil {
 		f.close()
 		return nil, err
 	}
@@ -180,13 +183,15 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	ended := make(chan struct{})
 	v.mu.Lock()
-	v.daemon = cmd
+	v.daemon, v.daemonEnded = cmd, ended
 	v.mu.Unlock()
 	v.waiting.Add(1)
 	go func() {
 		defer v.waiting.Done()
 		err := cmd.Wait()
+		close(ended)
 		v.fleet.record.note("daemon of vm %d ended: %v", v.number, err)
 	}()
 	return nil
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -30,11 +30,14 @@
 type scenario struct {
 	// services are those of the VMs, one VM for each entry.
 	services []string
-	play     func(f *fleet, trouble bool) (string, error)
+	// slots is the number of requests that a backend server runs at a time.
+	slots int
+	play  func(f *fleet, trouble bool) (string, error)
 }
 
 var scenarios = map[string]scenario{
-	"crash-in-answer": {services: []string{"orders", "orders", "orders", "orders"}, play: playCrashInAnswer},
+	"crash-in-answer": {services: []string{"orders", "orders", "orders", "orders"}, slots: 6, play: playCrashInAnswer},
+	"neighbour-stops": {services: []string{"orders", "orders", "desk", "desk"}, slots: 18, play: playNeighbourStops},
 }
 
 func main() {
@@ -90,7 +93,7 @@
 		return "", err
 	}
 	defer func() { err = errors.Join(err, r.close()) }()
-	f, err := startFleet(daemon, s.services, r)
+	f, err := startFleet(daemon, s, r)
 	if err != nil {
 		return "", err
 	}
